Shared types: ids, log records and replay, freshness, keeper and request decisions

Cause: a new project needs its shared types before the parts that use them. Weighed: one package of decisions against a module of its own; the module wins because it cannot import Jetty, sockets or threads. Not measured yet; no tests yet.

--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/freshness/Acceptance.java
@@ -0,0 +1,56 @@
+package org.baobabspindle.core.freshness;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.baobabspindle.core.id.ConfigurationVersion;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.Region;
+import org.baobabspindle.core.log.Membership;
+
+/**
+ * Counts which entries have a configuration version. The version is accepted once a majority of the entries of each
+ * region has it: from then on no entry that is fresh can lack it for longer than the freshness bound.
+ */
+public final class Acceptance {
+    private final ConfigurationVersion version;
+    private final Set<Incarnation> having = new HashSet<>();
+
+    /**
+     * Starts to count for a version.
+     *
+     * @param version the version
+     */
+    public Acceptance(ConfigurationVersion version) {
+        this.version = version;
+    }
+
+    /**
+     * Notes what an entry has replayed.
+     *
+     * @param entry the entry
+     * @param replayed its configuration version
+     */
+    public void heard(Incarnation entry, ConfigurationVersion replayed) {
+        if (replayed.compareTo(version) >= 0) {
+            having.add(entry);
+        }
+    }
+
+    /**
+     * Returns the regions that still lack a majority.
+     *
+     * @param membership the entries of each region
+     * @return the regions; empty means that the version is accepted
+     */
+    public List<Region> missing(Membership membership) {
+        List<Region> missing = new ArrayList<>();
+        for (Region r : membership.regions()) {
+            if (!membership.of(r).isMajority(having)) {
+                missing.add(r);
+            }
+        }
+        return missing;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/group/DomainKeeper.java
@@ -0,0 +1,232 @@
+package org.baobabspindle.core.group;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.baobabspindle.core.configuration.Configuration;
+import org.baobabspindle.core.configuration.ModelSetting;
+import org.baobabspindle.core.id.FencingNumber;
+import org.baobabspindle.core.id.GroupId;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.id.ModelVersion;
+import org.baobabspindle.core.log.Group;
+import org.baobabspindle.core.log.GroupDissolved;
+import org.baobabspindle.core.log.GroupFormed;
+import org.baobabspindle.core.log.KeeperClaim;
+
+/** Decides for one fabric domain while its lease lasts: which groups end, which begin, and which orders go out. */
+final class DomainKeeper {
+    private final GroupTimings timings;
+    private final Assessor assessor;
+    private final Map<InstanceId, Instant> orderedAt = new HashMap<>();
+    private final Map<GroupId, Instant> drainingSince = new HashMap<>();
+    private long orders;
+
+    DomainKeeper(GroupTimings timings) {
+        this.timings = timings;
+        this.assessor = new Assessor(timings);
+    }
+
+    /** The time in which this entry keeps a domain. */
+    record Tenure(KeeperClaim claim, Instant quietUntil, Instant leaseEnd, boolean mayAppend) {}
+
+    Assessment assess(Instant now, KeeperView view, Group group, Instant quietUntil) {
+        Assessment a = assessor.assess(
+                now, group, view.reports(), quietUntil, view.state().configuration());
+        boolean ending = leavingMember(view, group).isPresent() || isSurplus(view, group);
+        if (ending && a.lifecycle() == Lifecycle.SERVING) {
+            return new Assessment(group.id(), Lifecycle.DRAINING, Optional.empty(), a.running());
+        }
+        return a;
+    }
+
+    List<KeeperAction> decide(Instant now, KeeperView view, Tenure tenure) {
+        List<KeeperAction> actions = new ArrayList<>();
+        List<Group> groups = view.state().groupState().groups().stream()
+                .filter(g -> g.domain().equals(tenure.claim().domain()))
+                .toList();
+        if (tenure.mayAppend()) {
+            Optional<KeeperAction> change = dissolve(now, view, tenure, groups);
+            change.or(() -> form(now, view, tenure, groups.size())).ifPresent(actions::add);
+        }
+        for (Group g : groups) {
+            actions.addAll(orderMembers(now, view, tenure, g));
+        }
+        actions.addAll(releaseStrays(now, view, tenure));
+        return actions;
+    }
+
+    private Optional<KeeperAction> dissolve(Instant now, KeeperView view, Tenure tenure, List<Group> groups) {
+        for (Group g : groups) {
+            Optional<String> reason = endOf(now, view, tenure, g);
+            if (reason.isPresent()) {
+                GroupDissolved record =
+                        new GroupDissolved(g.id(), tenure.claim().epoch(), reason.get());
+                return Optional.of(new KeeperAction.Append(tenure.claim().domain(), record, now, reason.get()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns why a group must end now, or empty if it goes on. */
+    private Optional<String> endOf(Instant now, KeeperView view, Tenure tenure, Group group) {
+        for (Incarnation m : group.members()) {
+            Optional<Incarnation> newest = view.newest(m.instance());
+            if (newest.isPresent() && newest.get().compareTo(m) > 0) {
+                return Optional.of("member " + m + " was replaced by " + newest.get());
+            }
+        }
+        Optional<String> lost = lostMember(now, view, tenure, group);
+        if (lost.isPresent()) {
+            return lost;
+        }
+        Optional<String> ending = leavingMember(view, group)
+                .or(() -> isSurplus(view, group)
+                        ? Optional.of("the configuration wants fewer groups of " + group.model())
+                        : Optional.empty());
+        if (ending.isEmpty()) {
+            drainingSince.remove(group.id());
+            return Optional.empty();
+        }
+        Instant since = drainingSince.computeIfAbsent(group.id(), g -> now);
+        Assessment a = assessor.assess(
+                now, group, view.reports(), tenure.quietUntil(), view.state().configuration());
+        boolean settled = !since.plus(timings.confirmationAge())
+                .plus(timings.confirmationAge())
+                .isAfter(now);
+        boolean late = !since.plus(timings.drainLimit()).isAfter(now);
+        boolean idle = settled && a.running() == 0;
+        return idle || late ? ending : Optional.empty();
+    }
+
+    /** A silent member is waited for as long as the policy says, and longer while nothing could replace it. */
+    private Optional<String> lostMember(Instant now, KeeperView view, Tenure tenure, Group group) {
+        Configuration configuration = view.state().configuration();
+        for (Incarnation m : group.members()) {
+            Instant last =
+                    view.reports().of(m.instance()).map(MemberReport::askedAt).orElse(tenure.quietUntil());
+            Instant start = last.isBefore(tenure.quietUntil()) ? tenure.quietUntil() : last;
+            boolean silent = start.plus(configuration.placement().patience()).isBefore(now);
+            boolean listed = view.instances().stream().anyMatch(i -> i.id().equals(m));
+            if (silent && (!listed || !free(now, view, tenure).isEmpty())) {
+                return Optional.of("member " + m + " is silent");
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> leavingMember(KeeperView view, Group group) {
+        for (Incarnation m : group.members()) {
+            boolean listed = view.instances().stream().anyMatch(i -> i.id().equals(m) && i.leaving());
+            boolean reported =
+                    view.reports().of(m.instance()).map(MemberReport::leaving).orElse(false);
+            if (listed || reported || view.state().configuration().isDrained(m.instance())) {
+                return Optional.of("member " + m + " is leaving");
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** The groups formed last are surplus when there are more than the configuration wants. */
+    private static boolean isSurplus(KeeperView view, Group group) {
+        ModelSetting setting =
+                view.state().configuration().models().get(group.model().toString());
+        if (setting == null || setting.instancesPerGroup() != group.members().size()) {
+            return true;
+        }
+        long earlier = view.state().groupState().groups().stream()
+                .filter(g -> g.model().equals(group.model()) && g.id().compareTo(group.id()) < 0)
+                .count();
+        return earlier >= setting.groups();
+    }
+
+    private Optional<KeeperAction> form(Instant now, KeeperView view, Tenure tenure, int groups) {
+        Configuration configuration = view.state().configuration();
+        List<Incarnation> free = free(now, view, tenure);
+        int spares = configuration.placement().reservedSpares(free.size(), groups);
+        for (Map.Entry<String, ModelSetting> e : configuration.models().entrySet()) {
+            ModelVersion model = ModelVersion.parse(e.getKey());
+            long have = view.state().groupState().count(model);
+            int size = e.getValue().instancesPerGroup();
+            boolean wanted = have < e.getValue().groups();
+            int reserve = have == 0 ? 0 : spares;
+            if (!wanted || free.size() < size + reserve) {
+                continue;
+            }
+            GroupFormed record =
+                    new GroupFormed(tenure.claim().domain(), tenure.claim().epoch(), model, free.subList(0, size));
+            String reason = have + " of " + e.getValue().groups() + " groups of " + model + " exist, " + free.size()
+                    + " instances are free";
+            return Optional.of(new KeeperAction.Append(tenure.claim().domain(), record, now, reason));
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the instances that answer, stay, and belong to no group. */
+    private List<Incarnation> free(Instant now, KeeperView view, Tenure tenure) {
+        Predicate<PlatformInstance> usable = i -> !i.leaving()
+                && !view.state().configuration().isDrained(i.id().instance())
+                && view.state().groupState().groupOf(i.id().instance()).isEmpty();
+        return view.in(tenure.claim().domain()).stream()
+                .filter(usable)
+                .flatMap(i -> answering(now, view, i).stream())
+                .toList();
+    }
+
+    private Optional<Incarnation> answering(Instant now, KeeperView view, PlatformInstance instance) {
+        return view.reports()
+                .of(instance.id().instance())
+                .filter(r -> !r.leaving()
+                        && r.askedAt().plus(timings.confirmationAge()).isAfter(now))
+                .map(MemberReport::member);
+    }
+
+    private List<KeeperAction> orderMembers(Instant now, KeeperView view, Tenure tenure, Group group) {
+        List<KeeperAction> actions = new ArrayList<>();
+        for (Incarnation m : group.members()) {
+            Optional<MemberReport> report = view.reports().of(m.instance());
+            boolean sameRun = report.map(r -> r.member().equals(m)).orElse(false);
+            boolean holds = report.flatMap(MemberReport::group).equals(Optional.of(group.id()));
+            if (sameRun && !holds && isOrderDue(now, m)) {
+                actions.add(order(now, tenure, m, group, "member does not hold its part of group " + group.id()));
+            }
+        }
+        return actions;
+    }
+
+    private List<KeeperAction> releaseStrays(Instant now, KeeperView view, Tenure tenure) {
+        List<KeeperAction> actions = new ArrayList<>();
+        for (PlatformInstance i : view.in(tenure.claim().domain())) {
+            Optional<MemberReport> report = view.reports().of(i.id().instance());
+            boolean holds = report.flatMap(MemberReport::group).isPresent();
+            boolean inGroup =
+                    view.state().groupState().groupOf(i.id().instance()).isPresent();
+            if (holds && !inGroup && isOrderDue(now, report.get().member())) {
+                actions.add(order(now, tenure, report.get().member(), null, "the log has the instance in no group"));
+            }
+        }
+        return actions;
+    }
+
+    private boolean isOrderDue(Instant now, Incarnation target) {
+        Instant last = orderedAt.get(target.instance());
+        return last == null || !last.plus(timings.orderRetry()).isAfter(now);
+    }
+
+    private KeeperAction order(Instant now, Tenure tenure, Incarnation target, Group group, String reason) {
+        orderedAt.put(target.instance(), now);
+        orders++;
+        Instant lapse = now.plus(timings.orderLifetime());
+        Instant notAfter = lapse.isBefore(tenure.leaseEnd()) ? lapse : tenure.leaseEnd();
+        FencingNumber fencing = new FencingNumber(tenure.claim().epoch(), orders);
+        if (group == null) {
+            return new KeeperAction.Order(target, fencing, null, null, List.of(), notAfter, reason);
+        }
+        return new KeeperAction.Order(target, fencing, group.id(), group.model(), group.members(), notAfter, reason);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/group/KeeperView.java
@@ -0,0 +1,50 @@
+package org.baobabspindle.core.group;
+
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.log.ReplayedState;
+
+/**
+ * What a keeper knows when it decides.
+ *
+ * @param state the replayed state
+ * @param instances the engines that the instance list shows
+ * @param reports the reports of the engines
+ * @param mayAppend whether the log is readable and appends may be tried
+ */
+public record KeeperView(
+        ReplayedState state, List<PlatformInstance> instances, ReportTable reports, boolean mayAppend) {
+    /**
+     * Returns the engines of a fabric domain.
+     *
+     * @param domain the fabric domain
+     * @return its engines in a fixed order
+     */
+    public List<PlatformInstance> in(FabricDomain domain) {
+        return instances.stream()
+                .filter(i -> i.domain().equals(domain))
+                .sorted((a, b) -> a.id().compareTo(b.id()))
+                .toList();
+    }
+
+    /**
+     * Returns the run of an instance that is the newest known, by its reports and by the instance list.
+     *
+     * @param instance the instance
+     * @return the newest incarnation, or empty if the instance is unknown
+     */
+    public Optional<Incarnation> newest(InstanceId instance) {
+        Optional<Incarnation> reported = reports.of(instance).map(MemberReport::member);
+        Optional<Incarnation> listed = instances.stream()
+                .map(PlatformInstance::id)
+                .filter(i -> i.instance().equals(instance))
+                .findFirst();
+        if (reported.isEmpty()) {
+            return listed;
+        }
+        return listed.filter(l -> l.compareTo(reported.get()) > 0).or(() -> reported);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/group/ReportTable.java
@@ -0,0 +1,33 @@
+package org.baobabspindle.core.group;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabspindle.core.id.InstanceId;
+
+/** The latest report of each engine, by when it was asked for. Not safe for use by several threads. */
+public final class ReportTable {
+    private final Map<InstanceId, MemberReport> latest = new HashMap<>();
+
+    /** Creates an empty table. */
+    public ReportTable() {}
+
+    /**
+     * Notes a report unless a later one is known.
+     *
+     * @param report the report
+     */
+    public void add(MemberReport report) {
+        latest.merge(report.member().instance(), report, (a, b) -> b.askedAt().isBefore(a.askedAt()) ? a : b);
+    }
+
+    /**
+     * Returns the latest report of an instance.
+     *
+     * @param instance the instance
+     * @return its report, or empty if it never answered
+     */
+    public Optional<MemberReport> of(InstanceId instance) {
+        return Optional.ofNullable(latest.get(instance));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/log/IntentsExpired.java
@@ -0,0 +1,15 @@
+package org.baobabspindle.core.log;
+
+import org.baobabspindle.core.id.LogOffset;
+
+/**
+ * The end of the lifetime of all intents up to an offset.
+ *
+ * @param through the last offset whose intents are forgotten
+ */
+public record IntentsExpired(LogOffset through) implements LogRecord {
+    @Override
+    public Verdict applyTo(ReplayedState state, RecordPosition position) {
+        return state.intents().expire(through);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/log/KeeperClaim.java
@@ -0,0 +1,15 @@
+package org.baobabspindle.core.log;
+
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.LogOffset;
+
+/**
+ * The claim in force on a fabric domain.
+ *
+ * @param domain the fabric domain
+ * @param holder the entry that keeps the domain
+ * @param epoch the offset of the claim
+ * @param renewedAt the offset of the latest renewal or of the claim
+ */
+public record KeeperClaim(FabricDomain domain, Incarnation holder, LogOffset epoch, LogOffset renewedAt) {}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/log/LogRecord.java
@@ -0,0 +1,41 @@
+package org.baobabspindle.core.log;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** A fact proposed by an entry; replay alone decides whether it takes effect. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = ConfigurationPatched.class, name = "configuration-patched"),
+    @JsonSubTypes.Type(value = EntryJoined.class, name = "entry-joined"),
+    @JsonSubTypes.Type(value = EntryRemoved.class, name = "entry-removed"),
+    @JsonSubTypes.Type(value = KeeperClaimed.class, name = "keeper-claimed"),
+    @JsonSubTypes.Type(value = KeeperRenewed.class, name = "keeper-renewed"),
+    @JsonSubTypes.Type(value = GroupFormed.class, name = "group-formed"),
+    @JsonSubTypes.Type(value = GroupDissolved.class, name = "group-dissolved"),
+    @JsonSubTypes.Type(value = RequestIntended.class, name = "request-intended"),
+    @JsonSubTypes.Type(value = IntentsExpired.class, name = "intents-expired"),
+    @JsonSubTypes.Type(value = CrashSuspected.class, name = "crash-suspected"),
+    @JsonSubTypes.Type(value = SnapshotTaken.class, name = "snapshot-taken")
+})
+public sealed interface LogRecord
+        permits ConfigurationPatched,
+                EntryJoined,
+                EntryRemoved,
+                KeeperClaimed,
+                KeeperRenewed,
+                GroupFormed,
+                GroupDissolved,
+                RequestIntended,
+                IntentsExpired,
+                CrashSuspected,
+                SnapshotTaken {
+    /**
+     * Decides on this record against the state before it and, if it is accepted, changes the state.
+     *
+     * @param state the state that all earlier records left
+     * @param position the writer and the offset of this record
+     * @return the verdict, the same at every entry
+     */
+    Verdict applyTo(ReplayedState state, RecordPosition position);
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/log/StateDocument.java
@@ -0,0 +1,27 @@
+package org.baobabspindle.core.log;
+
+import java.util.List;
+import org.baobabspindle.core.configuration.Configuration;
+import org.baobabspindle.core.id.ConfigurationVersion;
+import org.baobabspindle.core.id.GroupId;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.LogOffset;
+import org.baobabspindle.core.id.Region;
+
+/** The JSON form of the whole state, as snapshots hold it. */
+record StateDocument(
+        LogOffset next,
+        Configuration configuration,
+        ConfigurationVersion version,
+        List<RegionDocument> regions,
+        List<KeeperClaim> claims,
+        List<Group> groups,
+        List<Intents.Intent> intents,
+        List<CrashDocument> crashes,
+        List<WriterSequence> sequences) {
+    record RegionDocument(Region region, Membership.RegionMembers members) {}
+
+    record CrashDocument(String fingerprint, List<GroupId> groups) {}
+
+    record WriterSequence(Incarnation writer, long sequence) {}
+}
