--- a/entry/src/main/java/org/baobabspindle/runner/CompletionClient.java
+++ b/entry/src/main/java/org/baobabspindle/runner/CompletionClient.java
@@ -108,7 +108,17 @@
     private static String abort(Request request, Attempt attempt, AttemptEvent event, Exception cause) {
         attempt.on(event);
         request.abort(cause);
-        return String.valueOf(cause.getMessage());
+        return reason(event, cause);
+    }
+
+    private static String reason(AttemptEvent event, Exception cause) {
+        if (event == AttemptEvent.CALLER_LEFT) {
+            return "the caller left";
+        }
+        if (event == AttemptEvent.DEADLINE_PASSED) {
+            return "the deadline passed";
+        }
+        return "the connection to the engine broke: " + cause.getClass().getSimpleName();
     }
 
     private static void readEvents(InputStream in, CompletionRequest completion, Tokens tokens) throws IOException {
--- a/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
+++ b/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
@@ -100,7 +100,12 @@
             boolean idempotent = request.key().isEmpty();
             RetryDecision decision = RetryDecision.of(settlement, idempotent, attempts, budget);
             DecisionLog.write(
-                    "retry", decision + ": " + failure, "group", chosen.get().group());
+                    "retry",
+                    decision + ": " + failure,
+                    "account",
+                    request.account(),
+                    "group",
+                    chosen.get().group());
             if (decision != RetryDecision.RETRY) {
                 return mayHaveRun ? new Outcome.Unknown(failure) : notRun(failure);
             }
@@ -114,7 +119,7 @@
             refresh.refresh(choice.groupsOf(wanted.model()));
             chosen = choice.choose(tables.clock().now(), wanted);
         }
-        while (chosen.isEmpty() && wanted.trial() && tables.clock().now().isBefore(request.deadline())) {
+        while (chosen.isEmpty() && choice.isWorthWaiting(tables.clock().now(), wanted, request.deadline())) {
             try {
                 Thread.sleep(TRIAL_POLL_MILLIS);
             } catch (InterruptedException e) {
--- a/entry/src/main/java/org/baobabspindle/serving/CrashWatch.java
+++ b/entry/src/main/java/org/baobabspindle/serving/CrashWatch.java
@@ -2,18 +2,21 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabspindle.core.group.Assessment;
 import org.baobabspindle.core.group.MemberReport;
 import org.baobabspindle.core.group.PlatformInstance;
-import org.baobabspindle.core.id.FabricDomain;
 import org.baobabspindle.core.id.GroupId;
 import org.baobabspindle.core.log.CrashSuspected;
 import org.baobabspindle.core.log.Group;
+import org.baobabspindle.core.request.CrashJudgement;
 import org.baobabspindle.logging.DecisionLog;
 import org.baobabspindle.runner.EngineClient;
 
@@ -23,7 +26,9 @@
  */
 final class CrashWatch {
     private static final Duration RECORD_WAIT = Duration.ofSeconds(1);
-    private static final int WITNESSES = 3;
+    private static final Duration PROBE_WAIT = Duration.ofSeconds(1);
+    private static final Duration RECENT = Duration.ofSeconds(5);
+    private static final int MOST_WITNESSES = 8;
 
     private final EntryTables tables;
     private final EngineClient engines;
@@ -44,58 +49,79 @@
     void broke(Instant now, CallerRequest request, GroupId group) {
         tables.groups().use(g -> g.evidence().broke(now, group));
         Optional<Group> known = tables.log().with(v -> v.state().groupState().group(group));
-        if (known.isPresent() && !anyWitness(now, known.get())) {
-            DecisionLog.write("no-suspect", "the whole fabric domain is silent", "group", group);
-            return;
-        }
+        CrashJudgement judgement = known.map(g -> judge(now, g)).orElse(CrashJudgement.SUSPECT);
         DecisionLog.write(
-                "suspect", "the group broke while running it", "request", request.fingerprint(), "group", group);
-        CompletableFuture<?> recorded = appends.append(new CrashSuspected(request.fingerprint(), group));
-        await(recorded, RECORD_WAIT);
+                "crash",
+                judgement.toString(),
+                "request",
+                request.fingerprint(),
+                "group",
+                group,
+                "account",
+                request.account());
+        if (judgement == CrashJudgement.SUSPECT) {
+            await(appends.append(new CrashSuspected(request.fingerprint(), group)), RECORD_WAIT);
+        }
     }
 
-    /** Tells whether an engine of the domain outside the group answers; true if there is none to ask. */
-    private boolean anyWitness(Instant now, Group group) {
-        List<PlatformInstance> others = witnesses(group.domain(), group);
-        if (others.isEmpty()) {
-            return true;
-        }
-        CompletableFuture<?>[] answers = others.stream()
-                .map(e -> engines.report(e, now).thenAccept(this::note))
-                .toArray(CompletableFuture<?>[]::new);
-        return others.size() == 1 ? await(answers[0], RECORD_WAIT) : await(firstSuccess(answers), RECORD_WAIT);
+    private CrashJudgement judge(Instant now, Group group) {
+        List<PlatformInstance> members = new ArrayList<>();
+        List<PlatformInstance> witnesses = new ArrayList<>();
+        tables.log().use(v -> tables.groups().use(g -> {
+            for (PlatformInstance e : g.instances().engines()) {
+                if (group.members().contains(e.id())) {
+                    members.add(e);
+                } else if (e.domain().equals(group.domain()) && answeredLately(now, e, v, g)) {
+                    witnesses.add(e);
+                }
+            }
+        }));
+        AtomicInteger membersAnswering = new AtomicInteger();
+        AtomicInteger witnessesAnswering = new AtomicInteger();
+        List<CompletableFuture<Void>> asked = new ArrayList<>();
+        members.forEach(e -> asked.add(ask(now, e, membersAnswering)));
+        witnesses.stream().limit(MOST_WITNESSES).forEach(e -> asked.add(ask(now, e, witnessesAnswering)));
+        await(CompletableFuture.allOf(asked.toArray(CompletableFuture<?>[]::new)), PROBE_WAIT);
+        return CrashJudgement.of(membersAnswering.get(), witnesses.size(), witnessesAnswering.get());
     }
 
-    private List<PlatformInstance> witnesses(FabricDomain domain, Group group) {
-        return tables.groups().with(g -> g.instances().engines().stream()
-                .filter(e -> e.domain().equals(domain) && !group.members().contains(e.id()))
-                .limit(WITNESSES)
-                .toList());
+    /** An engine answered lately if it reported to this entry, or if the group it is in was confirmed. */
+    private static boolean answeredLately(Instant now, PlatformInstance engine, LogView v, GroupTables g) {
+        Instant since = now.minus(RECENT);
+        boolean reported = g.reports()
+                .of(engine.id().instance())
+                .map(r -> r.askedAt().isAfter(since))
+                .orElse(false);
+        boolean confirmed = v.state()
+                .groupState()
+                .groupOf(engine.id().instance())
+                .flatMap(g.evidence()::of)
+                .flatMap(Assessment::confirmedAsOf)
+                .map(c -> c.isAfter(since))
+                .orElse(false);
+        return reported || confirmed;
     }
 
-    private void note(MemberReport report) {
-        tables.groups().use(g -> g.reports().add(report));
+    private CompletableFuture<Void> ask(Instant now, PlatformInstance engine, AtomicInteger answering) {
+        return engines.report(engine, now)
+                .thenAccept(r -> {
+                    note(r);
+                    answering.incrementAndGet();
+                })
+                .exceptionally(e -> null);
     }
 
-    private static CompletableFuture<Void> firstSuccess(CompletableFuture<?>[] answers) {
-        CompletableFuture<Void> first = new CompletableFuture<>();
-        for (CompletableFuture<?> a : answers) {
-            a.thenAccept(x -> first.complete(null));
-        }
-        CompletableFuture.allOf(answers)
-                .whenComplete((x, e) -> first.completeExceptionally(new IllegalStateException("no answer")));
-        return first;
+    private void note(MemberReport report) {
+        tables.groups().use(g -> g.reports().add(report));
     }
 
-    private static boolean await(CompletableFuture<?> future, Duration wait) {
+    private static void await(CompletableFuture<?> future, Duration wait) {
         try {
             future.get(wait.toMillis(), TimeUnit.MILLISECONDS);
-            return true;
         } catch (ExecutionException | TimeoutException e) {
-            return false;
+            DecisionLog.write("crash-wait", "not settled in " + wait);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return false;
         }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/serving/GroupChoice.java
+++ b/entry/src/main/java/org/baobabspindle/serving/GroupChoice.java
@@ -37,12 +37,7 @@
         return tables.log().with(v -> tables.groups().with(g -> tables.loads().with(l -> {
             List<Group> groups = new ArrayList<>();
             for (Group group : v.state().groupState().groups()) {
-                boolean open = group.model().equals(wanted.model())
-                        && !wanted.avoid().contains(group.id())
-                        && !(wanted.trial() && l.isOnTrial(group.id()))
-                        && g.engine(group.lead()).isPresent()
-                        && g.evidence().mayDispatch(now, group.id(), v.state().groupState(), timings);
-                if (open) {
+                if (isOpen(now, group, wanted, v, g) && !(wanted.trial() && l.isOnTrial(group.id()))) {
                     groups.add(group);
                 }
             }
@@ -50,6 +45,23 @@
         })));
     }
 
+    private boolean isOpen(Instant now, Group group, Wanted wanted, LogView v, GroupTables g) {
+        return group.model().equals(wanted.model())
+                && !wanted.avoid().contains(group.id())
+                && g.engine(group.lead()).isPresent()
+                && g.evidence().mayDispatch(now, group.id(), v.state().groupState(), timings);
+    }
+
+    /** Tells whether a suspect can expect its turn: a group could take it once the suspect there is done. */
+    boolean isWorthWaiting(Instant now, Wanted wanted, Instant deadline) {
+        if (!wanted.trial() || !now.isBefore(deadline)) {
+            return false;
+        }
+        return tables.log()
+                .with(v -> tables.groups().with(g -> tables.loads().with(l -> v.state().groupState().groups().stream()
+                        .anyMatch(x -> isOpen(now, x, wanted, v, g) && l.isOnTrial(x.id())))));
+    }
+
     private Optional<Chosen> pick(List<Group> groups, Wanted wanted, GroupTables g, Loads l) {
         List<Candidate> candidates =
                 groups.stream().map(group -> candidate(group, g, l)).toList();
--- a/entry/src/main/java/org/baobabspindle/settings/SettingsLoader.java
+++ b/entry/src/main/java/org/baobabspindle/settings/SettingsLoader.java
@@ -17,7 +17,6 @@
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
             .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .build();
 
