--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/fuzz/FakeEngine.java
@@ -0,0 +1,121 @@
+package org.baobabspindle.core.fuzz;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.group.KeeperAction;
+import org.baobabspindle.core.group.MemberReport;
+import org.baobabspindle.core.group.PlatformInstance;
+import org.baobabspindle.core.group.Readiness;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.FencingNumber;
+import org.baobabspindle.core.id.GroupId;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.Region;
+
+/** An engine that remembers when it held which group, so that the oracle can look back. */
+final class FakeEngine {
+    private static final Duration LOAD_TIME = Duration.ofMillis(700);
+
+    private final String name;
+    private final FabricDomain domain;
+    private final boolean checksFencing;
+    private final List<Held> history = new ArrayList<>();
+    private long number = 1;
+    private boolean up = true;
+    private Optional<GroupId> group = Optional.empty();
+    private Instant readyAt = Instant.MAX;
+    private Optional<FencingNumber> highest = Optional.empty();
+
+    FakeEngine(String name, FabricDomain domain, boolean checksFencing) {
+        this.name = name;
+        this.domain = domain;
+        this.checksFencing = checksFencing;
+    }
+
+    /** A time in which one run of the engine held a group ready. */
+    private static final class Held {
+        private final Incarnation id;
+        private final GroupId group;
+        private final Instant from;
+        private Instant until = Instant.MAX;
+
+        Held(Incarnation id, GroupId group, Instant from) {
+            this.id = id;
+            this.group = group;
+            this.from = from;
+        }
+    }
+
+    Incarnation id() {
+        return Incarnation.of(name, number);
+    }
+
+    FabricDomain domain() {
+        return domain;
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    PlatformInstance listed() {
+        return new PlatformInstance(
+                id(), domain, AvailabilityZone.of("z1"), Region.of("r1"), "127.0.0.1", 1, false, checksFencing, 4);
+    }
+
+    void kill(Instant now) {
+        release(now);
+        up = false;
+    }
+
+    void restart(Instant now) {
+        kill(now);
+        up = true;
+        number++;
+        highest = Optional.empty();
+    }
+
+    void obey(Instant now, KeeperAction.Order order) {
+        boolean wrongRun = !order.target().equals(id());
+        boolean old = highest.map(h -> order.fencing().compareTo(h) <= 0).orElse(false);
+        if (!up || wrongRun || (checksFencing && old)) {
+            return;
+        }
+        highest = Optional.of(order.fencing());
+        release(now);
+        group = Optional.ofNullable(order.group());
+        readyAt = now.plus(LOAD_TIME);
+        group.ifPresent(g -> history.add(new Held(id(), g, readyAt)));
+    }
+
+    private void release(Instant now) {
+        if (!history.isEmpty() && history.get(history.size() - 1).until.equals(Instant.MAX)) {
+            history.get(history.size() - 1).until = now;
+        }
+        group = Optional.empty();
+        readyAt = Instant.MAX;
+    }
+
+    MemberReport report(Instant now, Instant askedAt) {
+        Readiness readiness = group.isEmpty() ? Readiness.IDLE : ready(now);
+        return new MemberReport(id(), group, readiness, false, 0, askedAt);
+    }
+
+    private Readiness ready(Instant now) {
+        return now.isBefore(readyAt) ? Readiness.LOADING : Readiness.READY;
+    }
+
+    /** Tells whether this engine, in one run, held a group ready at some moment of a time. */
+    boolean held(Incarnation member, GroupId wanted, Instant from, Instant to) {
+        return history.stream()
+                .anyMatch(h -> h.id.equals(member)
+                        && h.group.equals(wanted)
+                        && !h.from.isAfter(to)
+                        && h.until.isAfter(from)
+                        && h.from.isBefore(h.until));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/fuzz/FakeEntry.java
@@ -0,0 +1,176 @@
+package org.baobabspindle.core.fuzz;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baobabspindle.core.freshness.Freshness;
+import org.baobabspindle.core.freshness.VersionVector;
+import org.baobabspindle.core.group.GroupEvidence;
+import org.baobabspindle.core.group.GroupTimings;
+import org.baobabspindle.core.group.Keeper;
+import org.baobabspindle.core.group.KeeperAction;
+import org.baobabspindle.core.group.KeeperView;
+import org.baobabspindle.core.group.PlatformInstance;
+import org.baobabspindle.core.group.ReportTable;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.LogOffset;
+import org.baobabspindle.core.id.Region;
+import org.baobabspindle.core.log.EntryDescription;
+import org.baobabspindle.core.log.LogCodec;
+import org.baobabspindle.core.log.LogEnvelope;
+import org.baobabspindle.core.log.LogRecord;
+import org.baobabspindle.core.log.ReplayedState;
+import org.baobabspindle.core.log.Verdict;
+
+/** The decisions of one entry with the little that drives them. */
+final class FakeEntry {
+    static final Region REGION = Region.of("r1");
+    static final Duration FRESHNESS = Duration.ofSeconds(4);
+
+    private final String name;
+    private final Map<Long, KeeperAction.Append> decided = new HashMap<>();
+    private long number;
+    private long sequence;
+    private boolean paused;
+    private boolean cutFromLog;
+    private ReplayedState state = new ReplayedState();
+    private Freshness freshness;
+    private Keeper keeper;
+    private ReportTable reports;
+    private GroupEvidence evidence;
+    private List<KeeperAction> withheld = new ArrayList<>();
+
+    FakeEntry(String name) {
+        this.name = name;
+        restart();
+    }
+
+    void restart() {
+        number++;
+        sequence = 0;
+        decided.clear();
+        paused = false;
+        state = new ReplayedState();
+        freshness = new Freshness(id(), REGION, FRESHNESS);
+        keeper = new Keeper(id(), REGION, GroupTimings.DEFAULT);
+        reports = new ReportTable();
+        evidence = new GroupEvidence();
+        withheld = new ArrayList<>();
+    }
+
+    Incarnation id() {
+        return Incarnation.of(name, number);
+    }
+
+    EntryDescription describe() {
+        return new EntryDescription(
+                id(), AvailabilityZone.of("z1"), REGION, "http://127.0.0.1:1", "127.0.0.1", 1, false);
+    }
+
+    ReplayedState state() {
+        return state;
+    }
+
+    Freshness freshness() {
+        return freshness;
+    }
+
+    Keeper keeper() {
+        return keeper;
+    }
+
+    ReportTable reports() {
+        return reports;
+    }
+
+    GroupEvidence evidence() {
+        return evidence;
+    }
+
+    VersionVector vector() {
+        return VersionVector.of(state, REGION);
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    void cutFromLog(boolean cut) {
+        cutFromLog = cut;
+    }
+
+    boolean reaches(FakeLog log) {
+        return !cutFromLog && !log.isDown();
+    }
+
+    /** Freezes the process just after it decided, so that it acts on the decision when it goes on. */
+    void pause(Instant now, List<PlatformInstance> listed) {
+        if (!paused) {
+            paused = true;
+            withheld = decide(now, listed);
+        }
+    }
+
+    List<KeeperAction> resume() {
+        paused = false;
+        List<KeeperAction> late = withheld;
+        withheld = new ArrayList<>();
+        return late;
+    }
+
+    KeeperView view(Instant now, List<PlatformInstance> listed) {
+        return new KeeperView(state, listed, reports, freshness.isLogReadable(now, state));
+    }
+
+    List<KeeperAction> decide(Instant now, List<PlatformInstance> listed) {
+        return keeper.decide(now, view(now, listed));
+    }
+
+    /** Returns the line of a record; a lost answer leaves it to be sent again with the same sequence. */
+    String write(LogRecord record) {
+        sequence++;
+        return LogCodec.write(new LogEnvelope(id(), sequence, record));
+    }
+
+    String write(KeeperAction.Append append) {
+        String line = write(append.record());
+        decided.put(sequence, append);
+        return line;
+    }
+
+    /** Reads up to a number of records and settles what this entry decided. */
+    void read(Instant askedAt, FakeLog log, int most) {
+        int count = 0;
+        while (state.next().compareTo(log.head()) < 0 && count < most) {
+            LogOffset offset = state.next();
+            String line = log.at(offset);
+            Verdict verdict = state.apply(offset, line);
+            LogCodec.read(line).ifPresent(e -> settle(e, verdict, offset));
+            count++;
+        }
+        freshness.headRead(askedAt, log.head());
+    }
+
+    private void settle(LogEnvelope envelope, Verdict verdict, LogOffset offset) {
+        if (!envelope.writer().equals(id()) || verdict.kind() == Verdict.Kind.DUPLICATE) {
+            return;
+        }
+        KeeperAction.Append append = decided.remove(envelope.sequence());
+        if (append != null) {
+            keeper.settled(append, verdict, offset);
+        }
+    }
+
+    /** Returns the members of the region that this entry knows. */
+    Set<Incarnation> members() {
+        Set<Incarnation> members = new HashSet<>();
+        state.membership().of(REGION).entries().forEach(e -> members.add(e.id()));
+        return members;
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/caller/EntriesEndpoint.java
+++ b/entry/src/main/java/org/baobabspindle/caller/EntriesEndpoint.java
@@ -33,7 +33,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws IOException {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         String caller = exchange.bearerToken().orElse("anyone");
         ObjectNode answer = Json.object().put("timeToLiveMillis", lifetime.toMillis());
         ArrayNode list = answer.putArray("entries");
--- a/entry/src/main/java/org/baobabspindle/caller/RequestEndpoint.java
+++ b/entry/src/main/java/org/baobabspindle/caller/RequestEndpoint.java
@@ -86,6 +86,6 @@
                 exchange.header("Content-Type").orElse("application/json"),
                 body,
                 Hashes.sha256(exchange.method() + '\n' + path + '\n' + body),
-                tables.clock().now().plus(timeout));
+                tables.clock().instant().plus(timeout));
     }
 }
--- a/entry/src/main/java/org/baobabspindle/node/EntryMetrics.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryMetrics.java
@@ -70,7 +70,7 @@
     }
 
     private double fresh() {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         return tables.log().with(v -> v.freshness().check(now, v.state()).isFresh()) ? 1 : 0;
     }
 
--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -87,14 +87,14 @@
         this.fresh = HttpClients.fresh("http-calls");
         PeerTraffic traffic = new PeerTraffic();
         PeerSecret secret = new PeerSecret(settings.peerSecret());
-        Incarnation id = Incarnation.of(settings.instance(), clock.now().toEpochMilli());
+        Incarnation id = Incarnation.of(settings.instance(), clock.instant().toEpochMilli());
         this.peers = new PeerClient(id, secret, workers, traffic);
         LogClient log = new LogClient(pooled, settings.logUrl());
         this.appender = new LogAppender(log, id);
         LatePeerAnswers answers = new LatePeerAnswers();
         this.peerServer = PeerServer.start(settings.host(), settings.peerPort(), secret, workers, answers, traffic);
         this.tables = tables(settings, id, clock, callerServer.port(), peerServer.port());
-        this.follower = new LogFollower(log, clock::now, new LogSink(tables, appender));
+        this.follower = new LogFollower(log, clock::instant, new LogSink(tables, appender));
         EngineClient engines = new EngineClient(pooled);
         EvidenceLoop evidence = new EvidenceLoop(tables, peers, engines, GroupTimings.DEFAULT);
         ServiceClient serviceClient = new ServiceClient(fresh, pooled);
--- a/entry/src/main/java/org/baobabspindle/node/EvidenceLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/EvidenceLoop.java
@@ -68,7 +68,7 @@
     }
 
     private Set<GroupId> assessKept(List<Group> kept) {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         Set<GroupId> assessed = new HashSet<>();
         tables.log().use(v -> tables.groups().use(t -> {
             for (Group g : kept) {
@@ -97,7 +97,7 @@
     }
 
     private CompletableFuture<Set<GroupId>> askKeeper(EntryDescription keeper, List<Group> groups) {
-        Instant askedAt = tables.clock().now();
+        Instant askedAt = tables.clock().instant();
         PeerMessage ask =
                 new PeerMessage.GroupsAsk(groups.stream().map(Group::id).toList());
         return peers.ask(new PeerAddress(keeper.peerHost(), keeper.peerPort()), ask, ASK_TIMEOUT)
@@ -124,7 +124,7 @@
 
     @Override
     public void refresh(Collection<Group> groups) {
-        Instant askedAt = tables.clock().now();
+        Instant askedAt = tables.clock().instant();
         List<CompletableFuture<Void>> reports = new ArrayList<>();
         for (Group g : groups) {
             for (Incarnation m : g.members()) {
@@ -136,7 +136,7 @@
         }
         CompletableFuture<Void> all = CompletableFuture.allOf(reports.toArray(CompletableFuture<?>[]::new));
         await(all, PROBE_TIMEOUT, null);
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         tables.log().use(v -> tables.groups().use(t -> {
             for (Group g : groups) {
                 Assessment a = assessor.assess(
--- a/entry/src/main/java/org/baobabspindle/node/FreshnessLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/FreshnessLoop.java
@@ -30,7 +30,7 @@
 
     /** Asks the region's entries once, if the log cannot be read. */
     void run() {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         List<EntryDescription> others = tables.log().with(v -> {
             if (v.freshness().isLogReadable(now, v.state())) {
                 return List.of();
@@ -46,11 +46,11 @@
 
     @Override
     public List<Region> await(ConfigurationVersion version) {
-        Instant until = tables.clock().now().plus(CONFIRMATION_WAIT);
+        Instant until = tables.clock().instant().plus(CONFIRMATION_WAIT);
         Acceptance acceptance = new Acceptance(version);
         Set<Incarnation> having = new HashSet<>();
         List<Region> missing = askLacking(acceptance, having, version);
-        while (!missing.isEmpty() && tables.clock().now().isBefore(until)) {
+        while (!missing.isEmpty() && tables.clock().instant().isBefore(until)) {
             try {
                 Thread.sleep(CONFIRMATION_POLL_MILLIS);
             } catch (InterruptedException e) {
--- a/entry/src/main/java/org/baobabspindle/node/KeeperLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/KeeperLoop.java
@@ -34,7 +34,7 @@
 
     /** Asks and decides once. */
     void run() {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         probe(now);
         List<KeeperAction> actions = tables.log().with(v -> {
             boolean readable = v.freshness().isLogReadable(now, v.state());
--- a/entry/src/main/java/org/baobabspindle/node/MembershipLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/MembershipLoop.java
@@ -43,7 +43,7 @@
 
     /** Looks once. */
     void run() {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         boolean readable = tables.log().with(v -> v.freshness().isLogReadable(now, v.state()));
         if (!readable) {
             return;
--- a/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
+++ b/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
@@ -54,7 +54,7 @@
     }
 
     private PeerMessage groups(PeerMessage.GroupsAsk ask) {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         List<PeerMessage.GroupDigest> digests = new ArrayList<>();
         tables.log().use(v -> tables.groups().use(g -> {
             for (GroupId id : ask.groups()) {
@@ -81,7 +81,7 @@
                 ask.contentType(),
                 ask.body(),
                 Hashes.sha256(ask.method() + '\n' + ask.path() + '\n' + ask.body()),
-                tables.clock().now().plusMillis(ask.deadlineMillis()));
+                tables.clock().instant().plusMillis(ask.deadlineMillis()));
         BufferSink sink = new BufferSink(Optional.empty(), MAX_FORWARDED_BYTES);
         Outcome outcome = service.serveForwarded(request, sink);
         if (outcome instanceof Outcome.Completed && sink.answer().isPresent()) {
--- a/entry/src/main/java/org/baobabspindle/node/PeerForwarder.java
+++ b/entry/src/main/java/org/baobabspindle/node/PeerForwarder.java
@@ -37,7 +37,7 @@
         DecisionLog.write("forward", "the key names another entry", "home", home, "account", request.account());
         PeerAddress address =
                 new PeerAddress(entry.get().peerHost(), entry.get().peerPort());
-        Duration left = Duration.between(tables.clock().now(), request.deadline());
+        Duration left = Duration.between(tables.clock().instant(), request.deadline());
         PeerMessage.ForwardAsk ask = new PeerMessage.ForwardAsk(
                 request.account(),
                 request.key().orElseThrow().value(),
--- a/entry/src/main/java/org/baobabspindle/node/VersionAsker.java
+++ b/entry/src/main/java/org/baobabspindle/node/VersionAsker.java
@@ -30,7 +30,7 @@
 
     /** Asks an entry of any region; answers of the own region count for freshness. */
     CompletableFuture<Heard> ask(EntryDescription entry) {
-        Instant askedAt = tables.clock().now();
+        Instant askedAt = tables.clock().instant();
         PeerMessage ask = new PeerMessage.VersionAsk(entry.region());
         return peers.ask(new PeerAddress(entry.peerHost(), entry.peerPort()), ask, TIMEOUT)
                 .thenApply(answer -> note(askedAt, entry, answer));
--- a/entry/src/main/java/org/baobabspindle/operator/ViewEndpoint.java
+++ b/entry/src/main/java/org/baobabspindle/operator/ViewEndpoint.java
@@ -30,7 +30,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws IOException {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         ObjectNode answer = Json.object().put("entry", tables.id().toString());
         tables.log().use(v -> {
             answer.put("freshness", v.freshness().check(now, v.state()).name());
--- a/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
+++ b/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
@@ -114,12 +114,12 @@
 
     /** Waits for a group when the request is a suspect, since those run one at a time on each group. */
     private Optional<GroupChoice.Chosen> choose(CallerRequest request, GroupChoice.Wanted wanted) {
-        Optional<GroupChoice.Chosen> chosen = choice.choose(tables.clock().now(), wanted);
+        Optional<GroupChoice.Chosen> chosen = choice.choose(tables.clock().instant(), wanted);
         if (chosen.isEmpty()) {
             refresh.refresh(choice.groupsOf(wanted.model()));
-            chosen = choice.choose(tables.clock().now(), wanted);
+            chosen = choice.choose(tables.clock().instant(), wanted);
         }
-        while (chosen.isEmpty() && choice.isWorthWaiting(tables.clock().now(), wanted, request.deadline())) {
+        while (chosen.isEmpty() && choice.isWorthWaiting(tables.clock().instant(), wanted, request.deadline())) {
             try {
                 Thread.sleep(TRIAL_POLL_MILLIS);
             } catch (InterruptedException e) {
@@ -129,14 +129,14 @@
             if (crashes.crashes(request) >= Suspects.QUARANTINE_CRASHES) {
                 return Optional.empty();
             }
-            chosen = choice.choose(tables.clock().now(), wanted);
+            chosen = choice.choose(tables.clock().instant(), wanted);
         }
         return chosen;
     }
 
     private String attempt(
             CallerRequest request, ChatRequest chat, ChatAnswer answer, GroupChoice.Chosen chosen, Attempt attempt) {
-        Instant start = tables.clock().now();
+        Instant start = tables.clock().instant();
         String id = UUID.randomUUID().toString();
         Duration left = Duration.between(start, request.deadline());
         if (left.isNegative() || left.isZero()) {
@@ -159,7 +159,7 @@
         int before = answer.taken();
         return engines.run(chosen.lead(), completion, attempt, (index, token) -> {
             if (index == before) {
-                Duration time = Duration.between(start, tables.clock().now());
+                Duration time = Duration.between(start, tables.clock().instant());
                 tables.loads().use(l -> l.sawFirstToken(chosen.group(), time));
             }
             answer.take(index, token);
@@ -172,11 +172,11 @@
         if (settlement != Settlement.UNKNOWN) {
             return Optional.empty();
         }
-        boolean late = !tables.clock().now().isBefore(request.deadline());
+        boolean late = !tables.clock().instant().isBefore(request.deadline());
         if (late || attempt.endedBy().filter(e -> e.isOfCaller()).isPresent()) {
             return Optional.of(new Outcome.Unknown(failure));
         }
-        crashes.broke(tables.clock().now(), request, chosen.group());
+        crashes.broke(tables.clock().instant(), request, chosen.group());
         if (crashes.crashes(request) >= Suspects.QUARANTINE_CRASHES) {
             String reason = "backend servers crashed while running this request";
             return Optional.of(new Outcome.Refused(RefusalKind.QUARANTINED, reason, QUARANTINE_RETRY));
--- a/entry/src/main/java/org/baobabspindle/serving/EntryTables.java
+++ b/entry/src/main/java/org/baobabspindle/serving/EntryTables.java
@@ -1,5 +1,6 @@
 package org.baobabspindle.serving;
 
+import java.time.InstantSource;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.log.EntryDescription;
 
@@ -15,7 +16,7 @@
  */
 public record EntryTables(
         EntryDescription self,
-        MonotonicClock clock,
+        InstantSource clock,
         Guarded<LogView> log,
         Guarded<GroupTables> groups,
         Guarded<Keys> keys,
--- a/entry/src/main/java/org/baobabspindle/serving/RequestService.java
+++ b/entry/src/main/java/org/baobabspindle/serving/RequestService.java
@@ -49,7 +49,7 @@
      * @return the outcome
      */
     public Outcome serve(CallerRequest request, AnswerSink sink) {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         Optional<Outcome> refused = admission.check(now, request, true);
         if (refused.isPresent()) {
             return refused.get();
@@ -65,7 +65,7 @@
      * @return the outcome
      */
     public Outcome serveForwarded(CallerRequest request, AnswerSink sink) {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         Optional<Outcome> refused = admission.check(now, request, false);
         if (refused.isPresent()) {
             return refused.get();
@@ -105,7 +105,7 @@
     }
 
     private Outcome runHere(CallerRequest request, AnswerSink sink) {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         Optional<Ticket> ticket = Ticket.of(request.key().orElseThrow());
         if (ticket.isPresent() && ticket.get().isExpired(now)) {
             return new Outcome.Refused(
@@ -120,7 +120,7 @@
 
     /** Takes the key locally, then lets the log decide which entry may run it. */
     private Outcome runIntended(CallerRequest request, AnswerSink sink) {
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         boolean readable = tables.log().with(v -> v.freshness().isLogReadable(now, v.state()));
         if (!readable) {
             return new Outcome.NotRun("the log is away and the key names no entry; use a key with a ticket", LOG_RETRY);
@@ -202,7 +202,8 @@
 
     private Outcome awaitRunning(CallerRequest request, AnswerSink sink) {
         Optional<CompletableFuture<Served>> running = tables.keys().with(k -> k.running(request));
-        long left = Duration.between(tables.clock().now(), request.deadline()).toMillis();
+        long left =
+                Duration.between(tables.clock().instant(), request.deadline()).toMillis();
         if (running.isEmpty() || left <= 0) {
             return new Outcome.Unknown("the request is being run");
         }
--- a/entry/src/main/java/org/baobabspindle/serving/ServiceWork.java
+++ b/entry/src/main/java/org/baobabspindle/serving/ServiceWork.java
@@ -114,7 +114,7 @@
     private Optional<StoredAnswer> attempt(
             CallerRequest request, String path, ServiceInstance instance, Attempt attempt) {
         String id = UUID.randomUUID().toString();
-        Instant now = tables.clock().now();
+        Instant now = tables.clock().instant();
         Duration left = Duration.between(now, request.deadline());
         if (left.isNegative() || left.isZero()) {
             attempt.on(AttemptEvent.DEADLINE_PASSED);
--- a/entry/src/main/java/org/baobabspindle/serving/Services.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Services.java
@@ -76,7 +76,7 @@
      * @return why not, or empty if it does
      */
     public Optional<String> whyNotReady() {
-        return admission.checkEntry(tables.clock().now()).map(Object::toString);
+        return admission.checkEntry(tables.clock().instant()).map(Object::toString);
     }
 
     /** Takes on no further request. */
