Only the entry that remembers a key says that its request did not run

Cause: admission (limit, freshness, log away) came before the key was looked up, so a resent booking that had run could be told refused or not-run; its caller would then order again under a new key. Found by a new fuzz of the request service (3 entries, restarts, lost answers, log away;): shrunk to sends of one key beyond the account's limit. Ruled out: the key table itself (no sequence ran a key twice, before or after). Change: keys are looked up first, the home admits; a key without a ticket gets unknown, not not-run, while the log is away; an expired key gets unknown.

--- a/core/src/main/java/org/baobabspindle/core/request/RefusalKind.java
+++ b/core/src/main/java/org/baobabspindle/core/request/RefusalKind.java
@@ -12,8 +12,6 @@
     NOT_FOUND(404),
     /** The key was used for another request. */
     KEY_REUSED(422),
-    /** The key is past its lifetime. */
-    KEY_EXPIRED(410),
     /** The request is larger than allowed. */
     TOO_LARGE(413),
     /** The client account is over its limit. */
--- a/entry/src/main/java/org/baobabspindle/serving/Admission.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Admission.java
@@ -35,11 +35,9 @@
     }
 
     /** Returns why a request is not taken on, or empty if it is. */
-    Optional<Outcome> check(Instant now, CallerRequest request, boolean charged) {
-        Optional<Outcome> refused = checkEntry(now).or(() -> checkQuarantine(request));
-        if (refused.isEmpty() && charged) {
-            refused = checkLimit(now, request);
-        }
+    Optional<Outcome> check(Instant now, CallerRequest request) {
+        Optional<Outcome> refused =
+                checkEntry(now).or(() -> checkQuarantine(request)).or(() -> checkLimit(now, request));
         refused.ifPresent(o -> DecisionLog.write("refuse", o.toString(), "account", request.account()));
         return refused;
     }
--- a/entry/src/main/java/org/baobabspindle/serving/RequestService.java
+++ b/entry/src/main/java/org/baobabspindle/serving/RequestService.java
@@ -23,7 +23,6 @@
 /** Serves requests: admits them, finds the entry that may run them, runs each key at most once. */
 public final class RequestService {
     private static final int MAX_KEPT_ANSWER_BYTES = 256 * 1024;
-    private static final Duration LOG_RETRY = Duration.ofSeconds(5);
     private static final Duration FULL_RETRY = Duration.ofSeconds(30);
     private static final Duration INTENT_WAIT = Duration.ofSeconds(3);
 
@@ -49,27 +48,22 @@
      * @return the outcome
      */
     public Outcome serve(CallerRequest request, AnswerSink sink) {
-        Instant now = tables.clock().instant();
-        Optional<Outcome> refused = admission.check(now, request, true);
-        if (refused.isPresent()) {
-            return refused.get();
-        }
-        return request.key().isEmpty() ? works.of(request).run(request, sink) : serveKeyed(request, sink);
+        return request.key().isEmpty() ? admitAndRun(request, sink) : serveKeyed(request, sink);
+    }
+
+    private Outcome admitAndRun(CallerRequest request, AnswerSink sink) {
+        Optional<Outcome> refused = admission.check(tables.clock().instant(), request);
+        return refused.isPresent() ? refused.get() : works.of(request).run(request, sink);
     }
 
     /**
      * Serves a request that another entry handed over because its key names this entry.
      *
-     * @param request the request; the entry that took it has charged the client account
+     * @param request the request
      * @param sink takes the answer
      * @return the outcome
      */
     public Outcome serveForwarded(CallerRequest request, AnswerSink sink) {
-        Instant now = tables.clock().instant();
-        Optional<Outcome> refused = admission.check(now, request, false);
-        if (refused.isPresent()) {
-            return refused.get();
-        }
         KeyHome home = home(request);
         if (home instanceof KeyHome.Here) {
             return runHere(request, sink);
@@ -83,6 +77,10 @@
                         tables.id(), v.state(), request.account(), request.key().orElseThrow()));
     }
 
+    /**
+     * Serves a request that may have been sent before. Only the entry that remembers the key can say that the request did
+     * not run, so the request is admitted there, after the key was looked up.
+     */
     private Outcome serveKeyed(CallerRequest request, AnswerSink sink) {
         KeyHome home = home(request);
         DecisionLog.write(
@@ -108,8 +106,7 @@
         Instant now = tables.clock().instant();
         Optional<Ticket> ticket = Ticket.of(request.key().orElseThrow());
         if (ticket.isPresent() && ticket.get().isExpired(now)) {
-            return new Outcome.Refused(
-                    RefusalKind.KEY_EXPIRED, "the key is past its lifetime of " + Ticket.LIFETIME, Duration.ZERO);
+            return new Outcome.Unknown("the key is past its lifetime of " + Ticket.LIFETIME);
         }
         KeyTable.Decision decision = tables.keys().with(k -> k.begin(now, request, ticket.isEmpty()));
         if (decision instanceof KeyTable.Decision.Run) {
@@ -123,7 +120,8 @@
         Instant now = tables.clock().instant();
         boolean readable = tables.log().with(v -> v.freshness().isLogReadable(now, v.state()));
         if (!readable) {
-            return new Outcome.NotRun("the log is away and the key names no entry; use a key with a ticket", LOG_RETRY);
+            return new Outcome.Unknown(
+                    "the log is away, so whether a key without a ticket was run before cannot be known; come back");
         }
         KeyTable.Decision decision = tables.keys().with(k -> k.begin(now, request, false));
         if (!(decision instanceof KeyTable.Decision.Run)) {
@@ -133,8 +131,8 @@
         if (settled.isPresent() && settled.get().verdict().isAccepted()) {
             return runAndFinish(request, sink);
         }
-        Outcome notRun = new Outcome.NotRun("the log did not settle the intent in time", LOG_RETRY);
-        finish(request, Settlement.NOT_RUN, Served.of(notRun));
+        Outcome unsettled = new Outcome.Unknown("the log did not settle in time which entry may run this key");
+        finish(request, Settlement.NOT_RUN, Served.of(unsettled));
         KeyHome home = home(request);
         if (home instanceof KeyHome.There there) {
             return forwarder.forward(there.entry(), request, sink);
@@ -142,7 +140,7 @@
         if (home instanceof KeyHome.Gone gone) {
             return new Outcome.Unknown("entry " + gone.entry() + ", the only one that may run this key, is gone");
         }
-        return notRun;
+        return unsettled;
     }
 
     private Optional<LogAppender.Settled> awaitIntent(CallerRequest request) {
@@ -162,7 +160,7 @@
         BufferSink kept = new BufferSink(Optional.of(sink), MAX_KEPT_ANSWER_BYTES);
         Outcome outcome = new Outcome.Unknown("the entry failed while running the request");
         try {
-            outcome = works.of(request).run(request, kept);
+            outcome = admitAndRun(request, kept);
         } finally {
             Settlement settlement = settlementOf(outcome);
             Optional<StoredAnswer> answer = settlement == Settlement.COMPLETED ? kept.answer() : Optional.empty();
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
@@ -0,0 +1,234 @@
+package org.baobabspindle.serving;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.baobabspindle.core.freshness.Freshness;
+import org.baobabspindle.core.group.GroupTimings;
+import org.baobabspindle.core.group.Keeper;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.ClientAccountId;
+import org.baobabspindle.core.id.ConfigurationVersion;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.LogOffset;
+import org.baobabspindle.core.id.Region;
+import org.baobabspindle.core.id.RequestKey;
+import org.baobabspindle.core.log.ConfigurationPatched;
+import org.baobabspindle.core.log.EntryDescription;
+import org.baobabspindle.core.log.EntryJoined;
+import org.baobabspindle.core.log.EntryRemoved;
+import org.baobabspindle.core.log.LogCodec;
+import org.baobabspindle.core.log.LogEnvelope;
+import org.baobabspindle.core.log.LogRecord;
+import org.baobabspindle.core.log.Verdict;
+import org.baobabspindle.core.request.KeyTable;
+import org.baobabspindle.core.request.Outcome;
+import org.baobabspindle.core.request.Ticket;
+import org.baobabspindle.platform.LogAppender;
+
+/** Entries that serve keyed requests over a list as the log and a counter as the backend server. */
+final class FakeCluster {
+    static final ClientAccountId ACCOUNT = ClientAccountId.of("dealers");
+    private static final Region REGION = Region.of("r1");
+
+    private final Random random;
+    private final List<String> log = new ArrayList<>();
+    private final List<Member> members = new ArrayList<>();
+    private final Map<RequestKey, Integer> runs = new HashMap<>();
+    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private boolean logDown;
+
+    FakeCluster(long seed, int entries) {
+        random = new Random(seed);
+        for (int i = 0; i < entries; i++) {
+            members.add(new Member("e" + i));
+        }
+        members.get(0).write(new ConfigurationPatched(ConfigurationVersion.of(0), configuration()));
+        members.forEach(Member::catchUp);
+    }
+
+    private static JsonNode configuration() {
+        return LogCodec.mapper()
+                .valueToTree(Map.of(
+                        "accounts",
+                        Map.of(ACCOUNT.value(), Map.of("keySha256", "0".repeat(64), "requestsPerSecond", 3))));
+    }
+
+    int runs(RequestKey key) {
+        return runs.getOrDefault(key, 0);
+    }
+
+    int size() {
+        return members.size();
+    }
+
+    RequestKey ticketed(int home, String text) {
+        return RequestKey.of(new Ticket(members.get(home).id(), now).prefix() + text);
+    }
+
+    Outcome send(int entry, RequestKey key) {
+        Member m = members.get(entry);
+        return m.service.serve(m.request(key), new BufferSink(Optional.empty(), 1_000));
+    }
+
+    void setLogDown(boolean down) {
+        logDown = down;
+    }
+
+    void advance(Duration time) {
+        now = now.plus(time);
+    }
+
+    void catchUp(int entry) {
+        if (!logDown) {
+            members.get(entry).catchUp();
+        }
+    }
+
+    void restart(int entry) {
+        if (!logDown) {
+            members.get(entry).restart();
+            members.forEach(Member::catchUp);
+        }
+    }
+
+    private final class Member {
+        private final String name;
+        private long number;
+        private long sequence;
+        private EntryTables tables;
+        private RequestService service;
+
+        Member(String name) {
+            this.name = name;
+            start();
+        }
+
+        Incarnation id() {
+            return Incarnation.of(name, number);
+        }
+
+        void start() {
+            number++;
+            sequence = 0;
+            Freshness freshness = new Freshness(id(), REGION, Duration.ofSeconds(4));
+            EntryDescription self = describe();
+            tables = new EntryTables(
+                    self,
+                    () -> now,
+                    Guarded.of(Guarded.Rank.STATE, new LogView(freshness)),
+                    Guarded.of(Guarded.Rank.GROUPS, new GroupTables(new Keeper(id(), REGION, GroupTimings.DEFAULT))),
+                    Guarded.of(Guarded.Rank.KEYS, new Keys(new KeyTable(100, 10_000, Ticket.MEMORY))),
+                    Guarded.of(Guarded.Rank.LOADS, new Loads()));
+            Admission admission = new Admission(tables, new AccountTokens(tables), new Random(number));
+            service = new RequestService(tables, admission, this::append, this::forward, r -> FakeCluster.this::run);
+            catchUp();
+            write(new EntryJoined(self, version(), memberIds()));
+            catchUp();
+        }
+
+        private EntryDescription describe() {
+            return new EntryDescription(
+                    id(), AvailabilityZone.of("z1"), REGION, "http://127.0.0.1:1", "127.0.0.1", 1, false);
+        }
+
+        void restart() {
+            write(new EntryRemoved(REGION, id(), version(), memberIds(), true));
+            start();
+        }
+
+        private long version() {
+            return tables.log().with(v -> v.state().membership().of(REGION).version());
+        }
+
+        private Set<Incarnation> memberIds() {
+            return Set.copyOf(tables.log().with(v -> v.state().membership().of(REGION).entries().stream()
+                    .map(EntryDescription::id)
+                    .toList()));
+        }
+
+        private long write(LogRecord record) {
+            sequence++;
+            log.add(LogCodec.write(new LogEnvelope(id(), sequence, record)));
+            return log.size() - 1L;
+        }
+
+        void catchUp() {
+            tables.log().use(v -> {
+                while (v.state().next().value() < log.size()) {
+                    v.state().apply(v.state().next(), log.get((int)
+                            v.state().next().value()));
+                }
+                v.freshness().headRead(now, LogOffset.of(log.size()));
+            });
+        }
+
+        /** Appends, and loses the answer now and then, before or after the effect. */
+        private CompletableFuture<LogAppender.Settled> append(LogRecord record) {
+            boolean lost = random.nextInt(4) == 0;
+            if (logDown || (lost && random.nextBoolean())) {
+                return CompletableFuture.failedFuture(new IOException("the log is away"));
+            }
+            long offset = write(record);
+            if (lost) {
+                return CompletableFuture.failedFuture(new IOException("the answer is lost"));
+            }
+            Verdict[] verdict = new Verdict[1];
+            tables.log().use(v -> {
+                while (v.state().next().value() < log.size()) {
+                    LogOffset at = v.state().next();
+                    Verdict x = v.state().apply(at, log.get((int) at.value()));
+                    verdict[0] = at.value() == offset ? x : verdict[0];
+                }
+            });
+            return CompletableFuture.completedFuture(new LogAppender.Settled(verdict[0], LogOffset.of(offset)));
+        }
+
+        private Outcome forward(Incarnation home, CallerRequest request, AnswerSink sink) {
+            Optional<Member> member =
+                    members.stream().filter(m -> m.id().equals(home)).findFirst();
+            if (member.isEmpty() || random.nextInt(5) == 0) {
+                return new Outcome.Unknown("the home does not answer");
+            }
+            Outcome outcome = member.get().service.serveForwarded(request, sink);
+            return random.nextInt(5) == 0 ? new Outcome.Unknown("the answer of the home is lost") : outcome;
+        }
+
+        private CallerRequest request(RequestKey key) {
+            return new CallerRequest(
+                    ACCOUNT, Optional.of(key), "POST", "/x", "text/plain", "", "f", now.plusSeconds(60));
+        }
+    }
+
+    /** Runs a request, or fails before or after it has run. */
+    private Outcome run(CallerRequest request, AnswerSink sink) {
+        int way = random.nextInt(5);
+        if (way == 0) {
+            return new Outcome.NotRun("no backend server", Duration.ofSeconds(1));
+        }
+        runs.merge(request.key().orElseThrow(), 1, Integer::sum);
+        if (way == 1) {
+            return new Outcome.Unknown("the connection broke");
+        }
+        if (way == 2) {
+            throw new IllegalStateException("the entry failed");
+        }
+        try {
+            sink.begin(200, "text/plain");
+            sink.write("done".getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return new Outcome.Completed();
+    }
+}
