Tests of the decisions; a malformed record no longer stops replay

Cause: a log line reading 'null', or a record with a field missing or null, ended the follower's thread with a NullPointerException, so one bad record would have stopped every entry. Records are now read strictly: absent or null fields make a line unreadable, with no effect at any entry. Configuration errors name the path of the field. Ruled out: catching in the follower, which would let entries differ.

--- a/core/src/main/java/org/baobabspindle/core/configuration/MergePatch.java
+++ b/core/src/main/java/org/baobabspindle/core/configuration/MergePatch.java
@@ -1,11 +1,13 @@
 package org.baobabspindle.core.configuration;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** Applies merge patches (RFC 7396) to a configuration. */
 public final class MergePatch {
@@ -28,6 +30,8 @@
         JsonNode merged = merge(mapper.valueToTree(configuration), patch);
         try {
             return mapper.treeToValue(merged, Configuration.class);
+        } catch (JsonMappingException e) {
+            throw new InvalidConfigurationException(path(e) + firstLine(reason(e)), e);
         } catch (JsonProcessingException | IllegalArgumentException e) {
             throw new InvalidConfigurationException(firstLine(e.getMessage()), e);
         }
@@ -50,6 +54,19 @@
         return result;
     }
 
+    /** Returns the path of the field in question, such as {@code models.chests@1.groups: }. */
+    private static String path(JsonMappingException e) {
+        String path = e.getPath().stream()
+                .map(r -> r.getFieldName() == null ? "[" + r.getIndex() + "]" : r.getFieldName())
+                .collect(Collectors.joining("."));
+        return path.isEmpty() ? "" : path + ": ";
+    }
+
+    private static String reason(JsonMappingException e) {
+        boolean checked = e.getCause() instanceof IllegalArgumentException;
+        return checked ? e.getCause().getMessage() : e.getOriginalMessage();
+    }
+
     private static String firstLine(String message) {
         return message == null ? "invalid" : message.lines().findFirst().orElse("invalid");
     }
--- a/core/src/main/java/org/baobabspindle/core/log/LogCodec.java
+++ b/core/src/main/java/org/baobabspindle/core/log/LogCodec.java
@@ -11,22 +11,29 @@
 /** The JSON form of log records. */
 public final class LogCodec {
     private static final int MAX_NESTING = 50;
-    private static final ObjectMapper MAPPER = JsonMapper.builder()
-            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
-            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+    private static final ObjectMapper MAPPER = lenient().build();
+    private static final ObjectMapper STRICT = lenient()
+            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
             .build();
 
+    private static JsonMapper.Builder lenient() {
+        return JsonMapper.builder()
+                .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    }
+
     static {
-        MAPPER.getFactory()
-                .setStreamReadConstraints(StreamReadConstraints.builder()
-                        .maxNestingDepth(MAX_NESTING)
-                        .build());
+        StreamReadConstraints bounds =
+                StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build();
+        MAPPER.getFactory().setStreamReadConstraints(bounds);
+        STRICT.getFactory().setStreamReadConstraints(bounds);
     }
 
     private LogCodec() {}
 
     /**
-     * Returns the mapper that reads and writes records and configurations.
+     * Returns the mapper of configurations and states; absent fields take their defaults.
      *
      * @return the shared mapper; it must not be reconfigured
      */
@@ -56,7 +63,7 @@
      */
     public static Optional<LogEnvelope> read(String line) {
         try {
-            return Optional.of(MAPPER.readValue(line, LogEnvelope.class));
+            return Optional.ofNullable(STRICT.readValue(line, LogEnvelope.class));
         } catch (JsonProcessingException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/core/src/test/java/org/baobabspindle/core/fuzz/World.java
+++ b/core/src/test/java/org/baobabspindle/core/fuzz/World.java
@@ -145,7 +145,7 @@
     private void send(Runnable effect) {
         int copies = random.nextInt(20) == 0 ? random.nextInt(3) : 1;
         for (int i = 0; i < copies; i++) {
-            long delay = (long) random.nextInt(50) + (slowness == 0 ? 0 : random.nextInt(1_500 * slowness));
+            long delay = (long) random.nextInt(50) + (slowness == 0 ? 0 : random.nextInt(2_000 * slowness));
             sent++;
             messages.add(new Message(now.plusMillis(delay), sent, effect));
         }
@@ -261,7 +261,9 @@
                     keeper.isPaused() ? Optional.empty() : keeper.keeper().assess(now, keeper.view(now, listed), g);
             Assessment a = said.orElseGet(() -> assessor.assess(
                     now, g, entry.reports(), Instant.MIN, entry.state().configuration()));
-            entry.evidence().add(now, a);
+            Instant askedAt = now;
+            Incarnation asker = entry.id();
+            send(() -> ifSame(entry, asker, () -> entry.evidence().add(askedAt, a)));
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/request/KeyTableTests.java
@@ -0,0 +1,125 @@
+package org.baobabspindle.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.baobabspindle.core.id.ClientAccountId;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.RequestKey;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class KeyTableTests {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final ClientAccountId ACCOUNT = ClientAccountId.of("dealers");
+    private static final RequestKey KEY = RequestKey.of("k");
+
+    private final KeyTable table = new KeyTable(2, 10, Duration.ofHours(2));
+
+    private KeyTable.Decision begin(Instant now, String key) {
+        return table.begin(now, ACCOUNT, RequestKey.of(key), "f");
+    }
+
+    private void finish(String key, Settlement settlement, String answer) {
+        Optional<StoredAnswer> stored = answer.isEmpty()
+                ? Optional.empty()
+                : Optional.of(StoredAnswer.of(200, "text/plain", answer.getBytes(StandardCharsets.UTF_8)));
+        table.finish(ACCOUNT, RequestKey.of(key), settlement, stored);
+    }
+
+    @Nested
+    class AKeyThatIsNew {
+        @Test
+        void runsOnceAndThenAnswers() {
+            assertThat(begin(NOW, "k")).isInstanceOf(KeyTable.Decision.Run.class);
+            assertThat(begin(NOW, "k")).isInstanceOf(KeyTable.Decision.Running.class);
+            finish("k", Settlement.COMPLETED, "done");
+            assertThat(begin(NOW, "k")).isInstanceOf(KeyTable.Decision.Answered.class);
+        }
+
+        @Test
+        void mayRunAgainAfterItDidNotRun() {
+            begin(NOW, "k");
+            finish("k", Settlement.NOT_RUN, "");
+            assertThat(begin(NOW, "k")).isInstanceOf(KeyTable.Decision.Run.class);
+        }
+
+        @Test
+        void neverRunsAgainAfterAnUnknownEnd() {
+            begin(NOW, "k");
+            finish("k", Settlement.UNKNOWN, "");
+            assertThat(begin(NOW, "k")).isInstanceOf(KeyTable.Decision.Unanswered.class);
+        }
+
+        @Test
+        void isRefusedForOtherContent() {
+            begin(NOW, "k");
+            assertThat(table.begin(NOW, ACCOUNT, KEY, "other")).isInstanceOf(KeyTable.Decision.Mismatch.class);
+        }
+    }
+
+    @Nested
+    class AFullTable {
+        @Test
+        void takesNoFurtherKeyUntilOneIsForgotten() {
+            begin(NOW, "a");
+            begin(NOW, "b");
+            finish("a", Settlement.COMPLETED, "");
+            assertThat(begin(NOW, "c")).isInstanceOf(KeyTable.Decision.Full.class);
+            assertThat(begin(NOW.plus(Duration.ofHours(2)), "c")).isInstanceOf(KeyTable.Decision.Run.class);
+        }
+
+        @Test
+        void dropsOldAnswersButKeepsTheirKeys() {
+            begin(NOW, "a");
+            finish("a", Settlement.COMPLETED, "12345678");
+            begin(NOW, "b");
+            finish("b", Settlement.COMPLETED, "12345678");
+            assertThat(begin(NOW, "a")).isInstanceOf(KeyTable.Decision.Unanswered.class);
+            assertThat(begin(NOW, "b")).isInstanceOf(KeyTable.Decision.Answered.class);
+        }
+    }
+
+    @Test
+    void aKeyThatIsStillRunningIsNotForgotten() {
+        begin(NOW, "k");
+        assertThat(begin(NOW.plus(Duration.ofDays(1)), "k")).isInstanceOf(KeyTable.Decision.Running.class);
+    }
+
+    @Test
+    void aKeyWonLongAgoAndForgottenDoesNotRun() {
+        assertThat(table.resume(NOW, ACCOUNT, KEY, "f")).isInstanceOf(KeyTable.Decision.Unanswered.class);
+    }
+
+    @Nested
+    class ATicket {
+        private final Incarnation home = Incarnation.of("e1", 7);
+
+        @Test
+        void isReadBackFromAKey() {
+            Ticket ticket = new Ticket(home, NOW);
+            assertThat(Ticket.of(RequestKey.of(ticket.prefix() + "order-1"))).hasValue(ticket);
+        }
+
+        @Test
+        void expiresBeforeItsKeysAreForgottenWhateverTheIssuersClock() {
+            for (Duration ahead = Duration.ofHours(-2); ahead.toHours() <= 2; ahead = ahead.plusMinutes(10)) {
+                Ticket ticket = new Ticket(home, NOW.plus(ahead));
+                boolean usable = !ticket.isExpired(NOW);
+                boolean usableWhenForgotten = !ticket.isExpired(NOW.plus(Ticket.MEMORY));
+                assertThat(usable && usableWhenForgotten).isFalse();
+            }
+        }
+
+        @Test
+        void isNotSeenInKeysOfOtherForms() {
+            assertThat(Ticket.of(RequestKey.of("bs1:"))).isEmpty();
+            assertThat(Ticket.of(RequestKey.of("bs1:e1~x:1:k"))).isEmpty();
+            assertThat(Ticket.of(RequestKey.of("bs1:e1~1:zzzzzzzzzzzzzzz:k"))).isEmpty();
+            assertThat(Ticket.of(RequestKey.of("order-1"))).isEmpty();
+        }
+    }
+}
