Limits of client accounts are held by a home entry that grants tokens; launcher for small instances

Cause: an equal share for each entry starves an account whose callers use one entry (1/n of its limit). The home (rendezvous hash of the account over the counted entries) holds the whole limit; entries lease up to half a second of their demand, unused tokens lapse after a second, and an entry that cannot reach the home spends its equal share. Entries count the bytes they poll with.

--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/request/AccountSpender.java
@@ -0,0 +1,93 @@
+package org.baobabspindle.core.request;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Spends at one entry the tokens that the home of a client account has granted. Unused tokens lapse, so that an entry
+ * whose traffic has moved away keeps nothing from the others. Not safe for use by several threads.
+ */
+public final class AccountSpender {
+    private static final Duration GRANT_LIFETIME = Duration.ofSeconds(1);
+    private static final double AHEAD_SECONDS = 0.5;
+    private static final double SMOOTHING = 0.3;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final TokenBucket fallback;
+    private int granted;
+    private Instant grantedAt;
+    private double demandPerSecond;
+    private Instant lastTaken;
+
+    /**
+     * Creates a spender without tokens.
+     *
+     * @param now the present time
+     */
+    public AccountSpender(Instant now) {
+        this.fallback = new TokenBucket(now, 1);
+        this.grantedAt = now;
+        this.lastTaken = now;
+    }
+
+    /**
+     * Spends a granted token.
+     *
+     * @param now the present time
+     * @return whether there was one
+     */
+    public boolean take(Instant now) {
+        noteDemand(now);
+        if (!grantedAt.plus(GRANT_LIFETIME).isAfter(now)) {
+            granted = 0;
+        }
+        if (granted == 0) {
+            return false;
+        }
+        granted--;
+        return true;
+    }
+
+    /**
+     * Returns how many tokens to ask the home for.
+     *
+     * @return at least one, and what the recent demand needs until the next question
+     */
+    public int wanted() {
+        return (int) Math.max(1, Math.ceil(demandPerSecond * AHEAD_SECONDS));
+    }
+
+    /**
+     * Notes what the home granted; one of the tokens is spent at once.
+     *
+     * @param now the present time
+     * @param count the tokens granted
+     * @return whether a token could be spent
+     */
+    public boolean granted(Instant now, int count) {
+        granted += count;
+        grantedAt = now;
+        if (granted == 0) {
+            return false;
+        }
+        granted--;
+        return true;
+    }
+
+    /**
+     * Spends from this entry's own share while the home does not answer.
+     *
+     * @param now the present time
+     * @param sharePerSecond the share of this entry, in requests per second
+     * @return zero if a token was spent, else the time until there is one
+     */
+    public Duration takeAlone(Instant now, double sharePerSecond) {
+        return fallback.take(now, sharePerSecond, Math.max(1, sharePerSecond));
+    }
+
+    private void noteDemand(Instant now) {
+        double seconds = Math.max(1e-3, Duration.between(lastTaken, now).toNanos() / NANOS_PER_SECOND);
+        demandPerSecond += SMOOTHING * Math.min(1, seconds * 10) * (1 / seconds - demandPerSecond);
+        lastTaken = now;
+    }
+}
--- a/core/src/test/java/org/baobabspindle/core/fuzz/FakeEngine.java
+++ b/core/src/test/java/org/baobabspindle/core/fuzz/FakeEngine.java
@@ -79,10 +79,10 @@
         highest = Optional.empty();
     }
 
+    /** Takes an order; it reaches whatever run of the engine listens at the address, as over a network. */
     void obey(Instant now, KeeperAction.Order order) {
-        boolean wrongRun = !order.target().equals(id());
         boolean old = highest.map(h -> order.fencing().compareTo(h) <= 0).orElse(false);
-        if (!up || wrongRun || (checksFencing && old)) {
+        if (!up || (checksFencing && old)) {
             return;
         }
         highest = Optional.of(order.fencing());
--- a/entry/src/main/java/org/baobabspindle/http/HttpClients.java
+++ b/entry/src/main/java/org/baobabspindle/http/HttpClients.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.io.ConnectionStatistics;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Makes the HTTP clients of an entry. */
@@ -34,6 +35,17 @@
         return start(name, 1);
     }
 
+    /**
+     * Counts the bytes that a client has sent and received.
+     *
+     * @param client a client made here
+     * @return the bytes of both directions, without those of TCP and IP
+     */
+    public static long bytes(HttpClient client) {
+        ConnectionStatistics statistics = client.getBean(ConnectionStatistics.class);
+        return statistics.getSentBytes() + statistics.getReceivedBytes();
+    }
+
     private static HttpClient start(String name, int maxUsage) {
         HttpClient client = new HttpClient();
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 2);
@@ -49,6 +61,7 @@
             pool.setMaxUsage(maxUsage);
             return pool;
         });
+        client.addBean(new ConnectionStatistics());
         try {
             client.start();
         } catch (Exception e) {
--- a/entry/src/main/java/org/baobabspindle/node/EntryMetrics.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryMetrics.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Instant;
+import java.util.function.LongSupplier;
 import org.baobabspindle.caller.EntryHandler;
 import org.baobabspindle.caller.HttpExchange;
 import org.baobabspindle.caller.RequestEndpoint;
@@ -30,7 +31,7 @@
             .register(registry);
     private final EntryTables tables;
 
-    EntryMetrics(EntryTables tables, PeerTraffic traffic, LogAppender appender) {
+    EntryMetrics(EntryTables tables, PeerTraffic traffic, LogAppender appender, LongSupplier pollBytes) {
         this.tables = tables;
         gauge("baobabspindle_groups_serving", "Groups that take requests.", () -> groups(true));
         gauge("baobabspindle_groups_down", "Groups that the log has and that take no requests.", () -> groups(false));
@@ -38,6 +39,11 @@
         gauge("baobabspindle_fresh", "Whether the configuration in force is known.", this::fresh);
         gauge("baobabspindle_keys", "Idempotency keys remembered.", () -> tables.keys()
                 .with(k -> k.size()));
+        CounterWithCallback.builder()
+                .name("baobabspindle_poll_bytes_total")
+                .help("Bytes of both directions towards the platform and of reports and orders of engines.")
+                .callback(c -> c.call((double) pollBytes.getAsLong()))
+                .register(registry);
         CounterWithCallback.builder()
                 .name("baobabspindle_peer_sent_bytes_total")
                 .help("Bytes sent to other entries by kind of message.")
--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -105,9 +105,10 @@
                 new Services.Clients(engines, new CompletionClient(fresh), serviceClient),
                 appender::append,
                 new PeerForwarder(tables, peers),
+                new PeerHomes(peers),
                 evidence,
                 RandomGenerator.getDefault());
-        answers.set(new PeerAnswers(tables, services.requests()));
+        answers.set(new PeerAnswers(tables, services));
         startLoops(evidence, engines, serviceClient, traffic);
     }
 
@@ -152,7 +153,7 @@
             EvidenceLoop evidence, EngineClient engines, ServiceClient serviceClient, PeerTraffic traffic) {
         VersionAsker asker = new VersionAsker(tables, peers);
         FreshnessLoop freshness = new FreshnessLoop(tables, asker);
-        EntryMetrics metrics = new EntryMetrics(tables, traffic, appender);
+        EntryMetrics metrics = new EntryMetrics(tables, traffic, appender, () -> HttpClients.bytes(pooled));
         callerServer.handle(endpoints(metrics, freshness), inProgress);
         Daemon.named("log-follower").newThread(follower::run).start();
         Daemon.named("log-appender").newThread(appender::run).start();
--- a/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
+++ b/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
@@ -20,18 +20,18 @@
 import org.baobabspindle.serving.BufferSink;
 import org.baobabspindle.serving.CallerRequest;
 import org.baobabspindle.serving.EntryTables;
-import org.baobabspindle.serving.RequestService;
+import org.baobabspindle.serving.Services;
 
 /** Answers the questions of other entries. */
 final class PeerAnswers implements Function<PeerMessage, PeerMessage> {
     private static final int MAX_FORWARDED_BYTES = 4 * 1024 * 1024;
 
     private final EntryTables tables;
-    private final RequestService service;
+    private final Services services;
 
-    PeerAnswers(EntryTables tables, RequestService service) {
+    PeerAnswers(EntryTables tables, Services services) {
         this.tables = tables;
-        this.service = service;
+        this.services = services;
     }
 
     @Override
@@ -45,6 +45,9 @@
         if (ask instanceof PeerMessage.ForwardAsk f) {
             return forwarded(f);
         }
+        if (ask instanceof PeerMessage.TokensAsk t) {
+            return new PeerMessage.TokensAnswer(services.grant(t.account(), t.wanted()));
+        }
         return new PeerMessage.Failed("not a question: " + ask.getClass().getSimpleName());
     }
 
@@ -83,7 +86,7 @@
                 Hashes.sha256(ask.method() + '\n' + ask.path() + '\n' + ask.body()),
                 tables.clock().instant().plusMillis(ask.deadlineMillis()));
         BufferSink sink = new BufferSink(Optional.empty(), MAX_FORWARDED_BYTES);
-        Outcome outcome = service.serveForwarded(request, sink);
+        Outcome outcome = services.requests().serveForwarded(request, sink);
         if (outcome instanceof Outcome.Completed && sink.answer().isPresent()) {
             StoredAnswer answer = sink.answer().get();
             String body = new String(answer.body(), StandardCharsets.UTF_8);
--- a/entry/src/main/java/org/baobabspindle/serving/Loads.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Loads.java
@@ -9,7 +9,8 @@
 import org.baobabspindle.core.id.ClientAccountId;
 import org.baobabspindle.core.id.GroupId;
 import org.baobabspindle.core.id.Incarnation;
-import org.baobabspindle.core.request.TokenBucket;
+import org.baobabspindle.core.request.AccountHome;
+import org.baobabspindle.core.request.AccountSpender;
 
 /** What this entry itself has under way, and the limits it spends from. Guarded by the lock of rank LOADS. */
 public final class Loads {
@@ -19,7 +20,8 @@
     private final Map<GroupId, Duration> firstToken = new HashMap<>();
     private final Map<Incarnation, Integer> calls = new HashMap<>();
     private final Set<GroupId> trials = new HashSet<>();
-    private final Map<ClientAccountId, TokenBucket> buckets = new HashMap<>();
+    private final Map<ClientAccountId, AccountSpender> spenders = new HashMap<>();
+    private final AccountHome home = new AccountHome();
 
     /** Creates tables without load. */
     public Loads() {}
@@ -72,8 +74,13 @@
         calls.computeIfPresent(service, (s, n) -> n <= 1 ? null : n - 1);
     }
 
-    /** Returns the bucket of an account, which starts with one second's share. */
-    TokenBucket bucket(ClientAccountId account, Instant now, double share) {
-        return buckets.computeIfAbsent(account, a -> new TokenBucket(now, Math.max(1, share)));
+    /** Returns what this entry spends from for an account. */
+    AccountSpender spender(ClientAccountId account, Instant now) {
+        return spenders.computeIfAbsent(account, a -> new AccountSpender(now));
+    }
+
+    /** Returns the limits of the accounts whose home is this entry. */
+    AccountHome home() {
+        return home;
     }
 }
--- a/entry/src/main/java/org/baobabspindle/serving/Services.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Services.java
@@ -1,10 +1,13 @@
 package org.baobabspindle.serving;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.application.ServiceClient;
+import org.baobabspindle.core.configuration.AccountSetting;
 import org.baobabspindle.core.group.GroupTimings;
+import org.baobabspindle.core.id.ClientAccountId;
 import org.baobabspindle.core.request.RetryBudget;
 import org.baobabspindle.core.request.Router;
 import org.baobabspindle.runner.CompletionClient;
@@ -17,6 +20,7 @@
     private static final Duration POLL = Duration.ofMillis(50);
 
     private final EntryTables tables;
+    private final AccountTokens tokens;
     private final Admission admission;
     private final RequestService requests;
 
@@ -29,6 +33,7 @@
      * @param clients the backend servers as peers
      * @param appends appends to the log
      * @param forwarder hands requests to other entries
+     * @param homes asks the homes of client accounts
      * @param refresh asks the members of groups at once
      * @param random the source of spread
      */
@@ -39,10 +44,12 @@
             Clients clients,
             Appends appends,
             RequestService.Forwarder forwarder,
+            AccountTokens.Homes homes,
             GroupRefresh refresh,
             RandomGenerator random) {
         this.tables = tables;
-        this.admission = new Admission(tables, new AccountTokens(tables), random);
+        this.tokens = new AccountTokens(tables, homes);
+        this.admission = new Admission(tables, tokens, random);
         RetryBudget budget = new RetryBudget(RETRIES_PER_REQUEST, MOST_RETRIES);
         GroupChoice choice = new GroupChoice(tables, timings, new Router(maxRunningPerGroup));
         CrashWatch crashes = new CrashWatch(tables, clients.engines(), appends);
@@ -70,6 +77,22 @@
         return requests;
     }
 
+    /**
+     * Grants tokens of a client account whose home is this entry.
+     *
+     * @param account the client account
+     * @param wanted the tokens wanted
+     * @return the tokens granted; none if the account is not known
+     */
+    public int grant(ClientAccountId account, int wanted) {
+        Instant now = tables.clock().instant();
+        Optional<AccountSetting> setting = tables.log()
+                .with(v ->
+                        Optional.ofNullable(v.state().configuration().accounts().get(account.value())));
+        return setting.map(s -> tokens.grant(now, account, s.requestsPerSecond(), wanted))
+                .orElse(0);
+    }
+
     /**
      * Tells whether this entry takes on requests now.
      *
--- a/entry/src/main/launcher/launcher.sh
+++ b/entry/src/main/launcher/launcher.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec java -Xmx${BAOBABSPINDLE_HEAP:-96m} -XX:+UseSerialGC -XX:TieredStopAtLevel=${BAOBABSPINDLE_TIER:-4} -jar "$0" "$@"
+export MALLOC_ARENA_MAX=2
+exec java -Xmx${BAOBABSPINDLE_HEAP:-40m} -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=24m -Xshare:auto -jar "$0" "$@"
--- a/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
+++ b/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -130,7 +131,10 @@
                     Guarded.of(Guarded.Rank.GROUPS, new GroupTables(new Keeper(id(), REGION, GroupTimings.DEFAULT))),
                     Guarded.of(Guarded.Rank.KEYS, new Keys(new KeyTable(100, 10_000, Ticket.MEMORY))),
                     Guarded.of(Guarded.Rank.LOADS, new Loads()));
-            Admission admission = new Admission(tables, new AccountTokens(tables), new Random(number));
+            Admission admission = new Admission(
+                    tables,
+                    new AccountTokens(tables, (home, account, wanted) -> OptionalInt.empty()),
+                    new Random(number));
             service = new RequestService(tables, admission, this::append, this::forward, r -> FakeCluster.this::run);
             catchUp();
             write(new EntryJoined(self, version(), memberIds()));
--- a/standins/src/main/java/org/baobabspindle/standins/StandinMain.java
+++ b/standins/src/main/java/org/baobabspindle/standins/StandinMain.java
@@ -31,6 +31,12 @@
     @Option(name = "--name", usage = "name of the plain service")
     private String name = "orders";
 
+    @Option(name = "--count", usage = "engines in this process; their names get numbers")
+    private int count = 1;
+
+    @Option(name = "--per-domain", usage = "engines of each fabric domain when there are several")
+    private int perDomain = 16;
+
     @Option(name = "--domain", usage = "fabric domain")
     private String domain = "d1";
 
@@ -98,17 +104,25 @@
             case "instances" -> InstanceListStandin.start(host, port, lagMillis);
             case "weights" -> WeightStoreStandin.start(host, port, partsPerSecond);
             case "service" -> register(ServiceStandin.start(host, port, id).describe(name, host, zone, region));
-            case "engine" -> register(EngineStandin.start(engineOptions()).describe());
+            case "engine" -> startEngines();
             default -> throw new IllegalArgumentException("unknown kind of stand-in: " + kind);
         }
     }
 
-    private EngineOptions engineOptions() {
+    private void startEngines() throws Exception {
+        for (int i = 0; i < count; i++) {
+            String name = count == 1 ? id : id + '-' + i;
+            String part = count == 1 ? domain : domain + '-' + i / perDomain;
+            register(EngineStandin.start(engineOptions(name, part)).describe());
+        }
+    }
+
+    private EngineOptions engineOptions(String name, String part) {
         return new EngineOptions(
-                id,
+                name,
                 host,
-                port,
-                domain,
+                count == 1 ? port : 0,
+                part,
                 zone,
                 region,
                 !ignoresFencing,
@@ -117,7 +131,7 @@
                 firstTokenMillis,
                 maxRunning,
                 weights,
-                true);
+                count == 1);
     }
 
     private void register(ObjectNode description) throws IOException, InterruptedException {
