--- a/core/src/test/java/org/baobabspindle/core/log/ReplayedStateTests.java
+++ b/core/src/test/java/org/baobabspindle/core/log/ReplayedStateTests.java
@@ -136,6 +136,14 @@
             assertThat(write(A, group(epoch, "x1", "x2")).isAccepted()).isFalse();
         }
 
+        @Test
+        void isRefusedUnderAnEarlierEpochOfTheSameHolder() {
+            wantGroups(2);
+            LogOffset second = claim(B, epoch.value());
+            claim(A, second.value());
+            assertThat(write(A, group(epoch, "x1", "x2")).isAccepted()).isFalse();
+        }
+
         @Test
         void isRefusedFromAnotherThanTheHolder() {
             wantGroups(2);
--- a/lab/src/main/java/org/baobabspindle/lab/Fleet.java
+++ b/lab/src/main/java/org/baobabspindle/lab/Fleet.java
@@ -98,8 +98,8 @@
     }
 
     private void addEngine(Incarnation id, FabricDomain domain, GroupId group) {
-        engines.add(new PlatformInstance(
-                id, domain, AvailabilityZone.of("z1"), REGION, "127.0.0.1", 1, false, true, 4));
+        engines.add(
+                new PlatformInstance(id, domain, AvailabilityZone.of("z1"), REGION, "127.0.0.1", 1, false, true, 4));
         reports.add(new MemberReport(id, Optional.of(group), Readiness.READY, false, 3, START));
     }
 
--- a/lab/src/main/java/org/baobabspindle/lab/FrameSizes.java
+++ b/lab/src/main/java/org/baobabspindle/lab/FrameSizes.java
@@ -38,7 +38,8 @@
                     .map(id -> new PeerMessage.GroupDigest(id, Lifecycle.SERVING, 480, 17))
                     .toList());
         }
-        return new PeerMessage.VersionAnswer(Incarnation.of("entry-17", 1_796_351_973_000L), ConfigurationVersion.of(400), 90);
+        return new PeerMessage.VersionAnswer(
+                Incarnation.of("entry-17", 1_796_351_973_000L), ConfigurationVersion.of(400), 90);
     }
 
     private static ObjectNode measure(String what, int groups) throws IOException {
@@ -54,7 +55,8 @@
             }
             PeerMessage ask =
                     what.equals("version") ? new PeerMessage.VersionAsk(Fleet.REGION) : new PeerMessage.GroupsAsk(ids);
-            client.ask(new PeerAddress("127.0.0.1", server.port()), ask, TIMEOUT).join();
+            client.ask(new PeerAddress("127.0.0.1", server.port()), ask, TIMEOUT)
+                    .join();
         } finally {
             workers.shutdownNow();
         }
@@ -67,6 +69,8 @@
     }
 
     private static long total(PeerTraffic traffic) {
-        return traffic.bytesByKind().values().stream().mapToLong(Long::longValue).sum();
+        return traffic.bytesByKind().values().stream()
+                .mapToLong(Long::longValue)
+                .sum();
     }
 }
--- a/lab/src/main/java/org/baobabspindle/lab/SlopesExperiment.java
+++ b/lab/src/main/java/org/baobabspindle/lab/SlopesExperiment.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntFunction;
 import org.baobabspindle.core.freshness.Freshness;
 import org.baobabspindle.core.freshness.VersionVector;
@@ -36,7 +37,7 @@
     private static final Duration MEASURED = Duration.ofMillis(400);
     private static final ClientAccountId ACCOUNT = ClientAccountId.of("dealers");
 
-    private volatile Object sink = "";
+    private final AtomicReference<Object> kept = new AtomicReference<>("");
 
     @Override
     public void run() throws IOException {
@@ -51,14 +52,25 @@
         memory("membership-memory", "entries", n -> new Fleet().withEntries(n), 50, 100, 200, 340);
         memory("intent-memory", "intents", this::intents, 5_000, 10_000, 20_000, 40_000);
         memory("key-memory", "keys without kept answers", this::filledKeys, 5_000, 10_000, 20_000, 40_000);
-        size("snapshot-bytes", "groups of 16", n -> new Fleet().withGroups(n, 16).state().snapshot().toString().length(),
-                5, 10, 20, 40);
+        size(
+                "snapshot-bytes",
+                "groups of 16",
+                n -> new Fleet().withGroups(n, 16).state().snapshot().toString().length(),
+                5,
+                10,
+                20,
+                40);
         size("intent-record-bytes", "records", n -> n * intentLine().length(), 1, 2, 3, 4);
         for (ObjectNode line : new FrameSizes().measure()) {
             System.out.println(line);
         }
     }
 
+    /** Holds a result, so that it is neither optimized away nor collected before it is measured. */
+    private void keep(Object result) {
+        kept.set(result);
+    }
+
     private interface Step {
         Object run();
     }
@@ -78,7 +90,7 @@
         long start = System.nanoTime();
         long end = start + MEASURED.toNanos();
         while (System.nanoTime() < end) {
-            sink = step.run();
+            keep(step.run());
             count++;
         }
         return (double) (System.nanoTime() - start) / count;
@@ -87,9 +99,9 @@
     private void memory(String name, String unit, IntFunction<Object> make, int... sizes) {
         List<Fit.Point> points = new ArrayList<>();
         for (int n : sizes) {
-            sink = "";
+            keep("");
             long before = usedAfterCollection();
-            sink = make.apply(n);
+            keep(make.apply(n));
             points.add(new Fit.Point(n, usedAfterCollection() - before));
         }
         print(name, unit, "bytes", points);
