Placement: no reserve is held back while groups are wanted; a dry account is not asked for again for 100 ms

Cause: the reserve of LEAST_DOWNTIME kept instances idle although a wanted group was missing; a reserve can only pay beyond the wanted groups, where instances are free anyway. Ruled out: patience (both patiences were tried with it, the loss stayed). The policies now differ in which sizes they form first.

--- a/core/src/main/java/org/baobabspindle/core/configuration/PlacementPolicy.java
+++ b/core/src/main/java/org/baobabspindle/core/configuration/PlacementPolicy.java
@@ -1,29 +1,29 @@
 package org.baobabspindle.core.configuration;
 
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.Map;
 
 /** The policy by which a keeper trades group downtime against stranded accelerators. */
 public enum PlacementPolicy {
-    /** Keeps spare instances so that a group that lost a member is whole again soon. */
-    LEAST_DOWNTIME(Duration.ofSeconds(3)) {
+    /** Forms small groups first, so that as many groups as possible are up. */
+    LEAST_DOWNTIME {
         @Override
-        public int reservedSpares(int freeInstances, int servingGroups) {
-            return servingGroups > 0 ? 1 : 0;
+        int compareSizes(int a, int b) {
+            return Integer.compare(a, b);
         }
     },
-    /** Puts every instance into a group whenever a group can be completed. */
-    LEAST_STRANDED(Duration.ofSeconds(10)) {
+    /** Forms large groups first, so that as few instances as possible are left over. */
+    LEAST_STRANDED {
         @Override
-        public int reservedSpares(int freeInstances, int servingGroups) {
-            return 0;
+        int compareSizes(int a, int b) {
+            return Integer.compare(b, a);
         }
     };
 
-    private final Duration patience;
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
 
-    PlacementPolicy(Duration patience) {
-        this.patience = patience;
-    }
+    abstract int compareSizes(int a, int b);
 
     /**
      * Returns how long a silent member is waited for before its group is dissolved.
@@ -31,15 +31,17 @@
      * @return the time without a report
      */
     public Duration patience() {
-        return patience;
+        return PATIENCE;
     }
 
     /**
-     * Returns how many free instances of a fabric domain are kept back when another group is formed there.
+     * Returns the order in which models get groups when not all can have theirs.
      *
-     * @param freeInstances the instances of the domain that are in no group
-     * @param servingGroups the groups of the domain
-     * @return the number of instances kept back
+     * @return the order of the models, by {@code model@version}
      */
-    public abstract int reservedSpares(int freeInstances, int servingGroups);
+    public Comparator<Map.Entry<String, ModelSetting>> order() {
+        Comparator<Map.Entry<String, ModelSetting>> bySize = (a, b) ->
+                compareSizes(a.getValue().instancesPerGroup(), b.getValue().instancesPerGroup());
+        return bySize.thenComparing(Map.Entry::getKey);
+    }
 }
--- a/core/src/main/java/org/baobabspindle/core/group/DomainKeeper.java
+++ b/core/src/main/java/org/baobabspindle/core/group/DomainKeeper.java
@@ -52,7 +52,7 @@
                 .toList();
         if (tenure.mayAppend()) {
             Optional<KeeperAction> change = dissolve(now, view, tenure, groups);
-            change.or(() -> form(now, view, tenure, groups.size())).ifPresent(actions::add);
+            change.or(() -> form(now, view, tenure)).ifPresent(actions::add);
         }
         for (Group g : groups) {
             actions.addAll(orderMembers(now, view, tenure, g));
@@ -145,17 +145,17 @@
         return earlier >= setting.groups();
     }
 
-    private Optional<KeeperAction> form(Instant now, KeeperView view, Tenure tenure, int groups) {
+    private Optional<KeeperAction> form(Instant now, KeeperView view, Tenure tenure) {
         Configuration configuration = view.state().configuration();
         List<Incarnation> free = free(now, view, tenure);
-        int spares = configuration.placement().reservedSpares(free.size(), groups);
-        for (Map.Entry<String, ModelSetting> e : configuration.models().entrySet()) {
+        List<Map.Entry<String, ModelSetting>> models = configuration.models().entrySet().stream()
+                .sorted(configuration.placement().order())
+                .toList();
+        for (Map.Entry<String, ModelSetting> e : models) {
             ModelVersion model = ModelVersion.parse(e.getKey());
             long have = view.state().groupState().count(model);
             int size = e.getValue().instancesPerGroup();
-            boolean wanted = have < e.getValue().groups();
-            int reserve = have == 0 ? 0 : spares;
-            if (!wanted || free.size() < size + reserve) {
+            if (have >= e.getValue().groups() || free.size() < size) {
                 continue;
             }
             GroupFormed record =
--- a/core/src/main/java/org/baobabspindle/core/request/AccountSpender.java
+++ b/core/src/main/java/org/baobabspindle/core/request/AccountSpender.java
@@ -9,6 +9,7 @@
  */
 public final class AccountSpender {
     private static final Duration GRANT_LIFETIME = Duration.ofSeconds(1);
+    private static final Duration DRY_PAUSE = Duration.ofMillis(100);
     private static final double AHEAD_SECONDS = 0.5;
     private static final double SMOOTHING = 0.3;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -18,6 +19,7 @@
     private Instant grantedAt;
     private double demandPerSecond;
     private Instant lastTaken;
+    private Instant dryUntil;
 
     /**
      * Creates a spender without tokens.
@@ -28,6 +30,7 @@
         this.fallback = new TokenBucket(now, 1);
         this.grantedAt = now;
         this.lastTaken = now;
+        this.dryUntil = now;
     }
 
     /**
@@ -48,6 +51,16 @@
         return true;
     }
 
+    /**
+     * Tells how long it is of no use to ask the home, since it had nothing to grant a moment ago.
+     *
+     * @param now the present time
+     * @return the time until the next question; zero if the home may be asked
+     */
+    public Duration dryFor(Instant now) {
+        return dryUntil.isAfter(now) ? Duration.between(now, dryUntil) : Duration.ZERO;
+    }
+
     /**
      * Returns how many tokens to ask the home for.
      *
@@ -68,6 +81,7 @@
         granted += count;
         grantedAt = now;
         if (granted == 0) {
+            dryUntil = now.plus(DRY_PAUSE);
             return false;
         }
         granted--;
--- a/entry/src/main/java/org/baobabspindle/serving/AccountTokens.java
+++ b/entry/src/main/java/org/baobabspindle/serving/AccountTokens.java
@@ -42,6 +42,10 @@
         if (taken) {
             return Duration.ZERO;
         }
+        Duration dry = tables.loads().with(l -> l.spender(account, now).dryFor(now));
+        if (!dry.isZero()) {
+            return dry;
+        }
         List<EntryDescription> entries =
                 tables.log().with(v -> v.state().membership().entries());
         int wanted = tables.loads().with(l -> l.spender(account, now).wanted());
--- a/lab/src/main/java/org/baobabspindle/lab/PlacementExperiment.java
+++ b/lab/src/main/java/org/baobabspindle/lab/PlacementExperiment.java
@@ -17,6 +17,7 @@
 import org.baobabspindle.core.group.ReportTable;
 import org.baobabspindle.core.id.ConfigurationVersion;
 import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.log.ConfigurationPatched;
 import org.baobabspindle.core.log.EntryJoined;
@@ -29,6 +30,7 @@
 
 /** Measures group downtime and stranded accelerators of the keeper's decisions under a schedule of failures. */
 final class PlacementExperiment implements Experiment {
+    private static final int SMALL_SIZE = 2;
     private static final Duration TICK = Duration.ofMillis(500);
     private static final Duration LIST_LAG = Duration.ofSeconds(10);
 
@@ -47,6 +49,9 @@
     @Option(name = "--groups", usage = "groups wanted")
     private int groups = 15;
 
+    @Option(name = "--small-groups", usage = "groups of 2 engines wanted of a second model")
+    private int smallGroups;
+
     @Option(name = "--hours", usage = "simulated time")
     private int hours = 12;
 
@@ -118,17 +123,18 @@
                     groups,
                     hours,
                     losses,
-                    100 * downSeconds / (groups * 3600.0 * hours),
+                    100 * downSeconds / ((groups + smallGroups) * 3600.0 * hours),
                     100 * strandedSeconds / (engines.size() * 3600.0 * hours),
                     unservedSeconds);
         }
 
         private void configure() {
             ObjectNode patch = LogCodec.mapper().createObjectNode().put("placement", policy.name());
-            patch.putObject("models")
-                    .putObject(Fleet.MODEL.toString())
+            ObjectNode models = patch.putObject("models");
+            models.putObject(Fleet.MODEL.toString())
                     .put("instancesPerGroup", groupSize)
                     .put("groups", groups);
+            models.putObject("small@1").put("instancesPerGroup", SMALL_SIZE).put("groups", smallGroups);
             write(new LogEnvelope(Fleet.SELF, 1, new EntryJoined(Fleet.entry(Fleet.SELF), 0, java.util.Set.of())));
             write(new LogEnvelope(Fleet.SELF, 2, new ConfigurationPatched(ConfigurationVersion.of(0), patch)));
             sequence = 2;
@@ -197,21 +203,26 @@
                     .forEach(e -> e.obey(now, Optional.ofNullable(order.group())));
         }
 
+        private SimulatedEngine engine(Incarnation member) {
+            return engines.get(Integer.parseInt(member.instance().value().substring(1)));
+        }
+
         /** A group is down while it is wanted and not serving; an accelerator is stranded while it is up and not serving. */
         private void measure() {
             KeeperView view = new KeeperView(state, listed, reports, true);
             int serving = 0;
+            int servingEngines = 0;
             for (Group g : state.groupState().groups()) {
-                boolean whole =
-                        g.members().stream().allMatch(m -> engines.stream().anyMatch(e -> e.serves(now, m, g.id())));
+                boolean whole = g.members().stream().allMatch(m -> engine(m).serves(now, m, g.id()));
                 Optional<Assessment> a = keeper.assess(now, view, g);
                 boolean open = a.isPresent() && a.get().lifecycle().takesWork();
                 serving += whole && open ? 1 : 0;
+                servingEngines += whole && open ? g.members().size() : 0;
             }
             long up = engines.stream().filter(e -> e.isUp(now)).count();
             double seconds = TICK.toMillis() / 1_000.0;
-            downSeconds += Math.max(0, groups - serving) * seconds;
-            strandedSeconds += Math.max(0, up - (long) serving * groupSize) * seconds;
+            downSeconds += Math.max(0, groups + smallGroups - serving) * seconds;
+            strandedSeconds += Math.max(0, up - servingEngines) * seconds;
             unservedSeconds += serving == 0 ? seconds : 0;
         }
     }
