--- a/entry/src/main/java/org/baobabspindle/node/EntryMetrics.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryMetrics.java
@@ -8,13 +8,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.baobabspindle.caller.EntryHandler;
 import org.baobabspindle.caller.HttpExchange;
 import org.baobabspindle.caller.RequestEndpoint;
-import org.baobabspindle.core.group.Lifecycle;
 import org.baobabspindle.core.group.PlatformInstance;
-import org.baobabspindle.core.log.Group;
+import org.baobabspindle.core.id.GroupId;
 import org.baobabspindle.core.request.Outcome;
 import org.baobabspindle.core.request.StoredAnswer;
 import org.baobabspindle.peer.PeerTraffic;
@@ -33,9 +33,12 @@
 
     EntryMetrics(EntryTables tables, PeerTraffic traffic, LogAppender appender, LongSupplier pollBytes) {
         this.tables = tables;
-        gauge("baobabspindle_groups_serving", "Groups that take requests.", () -> groups(true));
-        gauge("baobabspindle_groups_down", "Groups that the log has and that take no requests.", () -> groups(false));
-        gauge("baobabspindle_accelerators_stranded", "Accelerators that belong to no serving group.", this::stranded);
+        gauge("baobabspindle_groups_serving", "Tracked groups that take requests.", () -> groups(true));
+        gauge("baobabspindle_groups_down", "Tracked groups that take no requests.", () -> groups(false));
+        gauge(
+                "baobabspindle_accelerators_stranded",
+                "Accelerators in no group or in a tracked group that takes no requests.",
+                this::stranded);
         gauge("baobabspindle_fresh", "Whether the configuration in force is known.", this::fresh);
         gauge("baobabspindle_keys", "Idempotency keys remembered.", () -> tables.keys()
                 .with(k -> k.size()));
@@ -80,35 +83,30 @@
         return tables.log().with(v -> v.freshness().check(now, v.state()).isFresh()) ? 1 : 0;
     }
 
+    /** Counts the groups that this entry keeps track of and that serve, or do not. */
     private double groups(boolean serving) {
         return tables.log().with(v -> tables.groups().with(g -> v.state().groupState().groups().stream()
-                .filter(x -> serving == isServing(g, x))
+                .map(x -> g.evidence().of(x.id()))
+                .flatMap(Optional::stream)
+                .filter(a -> serving == a.lifecycle().takesWork())
                 .count()));
     }
 
+    /** Counts accelerators in no group, or in a group that this entry keeps track of and that does not serve. */
     private double stranded() {
         return tables.log().with(v -> tables.groups().with(g -> {
             int stranded = 0;
             for (PlatformInstance i : g.instances().engines()) {
-                boolean serves = v.state()
-                        .groupState()
-                        .groupOf(i.id().instance())
-                        .flatMap(v.state().groupState()::group)
-                        .map(x -> isServing(g, x))
+                Optional<GroupId> group = v.state().groupState().groupOf(i.id().instance());
+                boolean down = group.flatMap(g.evidence()::of)
+                        .map(a -> !a.lifecycle().takesWork())
                         .orElse(false);
-                stranded += serves ? 0 : i.accelerators();
+                stranded += group.isEmpty() || down ? i.accelerators() : 0;
             }
             return stranded;
         }));
     }
 
-    private static boolean isServing(org.baobabspindle.serving.GroupTables g, Group group) {
-        return g.evidence()
-                .of(group.id())
-                .map(a -> a.lifecycle() == Lifecycle.SERVING)
-                .orElse(false);
-    }
-
     @Override
     public void handle(HttpExchange exchange) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/entry/src/main/java/org/baobabspindle/node/EvidenceLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/EvidenceLoop.java
@@ -20,8 +20,11 @@
 import org.baobabspindle.core.group.PlatformInstance;
 import org.baobabspindle.core.id.GroupId;
 import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.ModelVersion;
 import org.baobabspindle.core.log.EntryDescription;
 import org.baobabspindle.core.log.Group;
+import org.baobabspindle.core.log.GroupState;
+import org.baobabspindle.core.request.Subset;
 import org.baobabspindle.peer.PeerAddress;
 import org.baobabspindle.peer.PeerClient;
 import org.baobabspindle.peer.PeerMessage;
@@ -54,7 +57,7 @@
         List<Group> groups = new ArrayList<>();
         Map<Incarnation, List<Group>> byKeeper = new HashMap<>();
         tables.log().use(v -> {
-            groups.addAll(v.state().groupState().groups());
+            groups.addAll(tracked(v.state().groupState()));
             for (Group g : groups) {
                 v.state().groupState().claim(g.domain()).ifPresent(c -> byKeeper.computeIfAbsent(
                                 c.holder(), h -> new ArrayList<>())
@@ -67,6 +70,17 @@
         refresh(groups.stream().filter(g -> !heard.contains(g.id())).toList());
     }
 
+    /** The groups of this entry's subset for each model. */
+    private List<Group> tracked(GroupState state) {
+        Map<ModelVersion, List<GroupId>> byModel = new HashMap<>();
+        for (Group g : state.groups()) {
+            byModel.computeIfAbsent(g.model(), m -> new ArrayList<>()).add(g.id());
+        }
+        Set<GroupId> chosen = new HashSet<>();
+        byModel.values().forEach(ids -> chosen.addAll(Subset.of(tables.id(), ids, Subset.SIZE)));
+        return state.groups().stream().filter(g -> chosen.contains(g.id())).toList();
+    }
+
     private Set<GroupId> assessKept(List<Group> kept) {
         Instant now = tables.clock().instant();
         Set<GroupId> assessed = new HashSet<>();
--- a/entry/src/main/java/org/baobabspindle/operator/ViewEndpoint.java
+++ b/entry/src/main/java/org/baobabspindle/operator/ViewEndpoint.java
@@ -6,8 +6,6 @@
 import java.time.Instant;
 import org.baobabspindle.caller.EntryHandler;
 import org.baobabspindle.caller.HttpExchange;
-import org.baobabspindle.core.group.Assessment;
-import org.baobabspindle.core.group.Lifecycle;
 import org.baobabspindle.core.log.EntryDescription;
 import org.baobabspindle.core.log.Group;
 import org.baobabspindle.core.log.KeeperClaim;
@@ -17,6 +15,8 @@
 
 /** Shows operators the entries, the keepers, the groups and the instances as this entry sees them. */
 public final class ViewEndpoint implements EntryHandler.Endpoint {
+    private static final String UNTRACKED = "UNTRACKED";
+
     private final EntryTables tables;
 
     /**
@@ -66,8 +66,9 @@
                 .put("id", x.id().value())
                 .put("domain", x.domain().value())
                 .put("model", x.model().toString());
-        Lifecycle lifecycle = g.evidence().of(x.id()).map(Assessment::lifecycle).orElse(Lifecycle.FORMING);
-        node.put("lifecycle", lifecycle.name());
+        String lifecycle =
+                g.evidence().of(x.id()).map(a -> a.lifecycle().name()).orElse(UNTRACKED);
+        node.put("lifecycle", lifecycle);
         ArrayNode members = node.putArray("members");
         x.members().forEach(m -> members.add(m.toString()));
         return node;
--- a/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
+++ b/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
@@ -116,7 +116,7 @@
     private Optional<GroupChoice.Chosen> choose(CallerRequest request, GroupChoice.Wanted wanted) {
         Optional<GroupChoice.Chosen> chosen = choice.choose(tables.clock().instant(), wanted);
         if (chosen.isEmpty()) {
-            refresh.refresh(choice.groupsOf(wanted.model()));
+            refresh.refresh(choice.worthAsking(wanted));
             chosen = choice.choose(tables.clock().instant(), wanted);
         }
         while (chosen.isEmpty() && choice.isWorthWaiting(tables.clock().instant(), wanted, request.deadline())) {
--- a/entry/src/main/java/org/baobabspindle/serving/GroupChoice.java
+++ b/entry/src/main/java/org/baobabspindle/serving/GroupChoice.java
@@ -13,9 +13,12 @@
 import org.baobabspindle.core.log.Group;
 import org.baobabspindle.core.request.Candidate;
 import org.baobabspindle.core.request.Router;
+import org.baobabspindle.core.request.Subset;
 
 /** Chooses a group for an attempt and counts the attempt to its load, in one step over the shared tables. */
 final class GroupChoice {
+    private static final int MOST_ASKED = 2;
+
     private final EntryTables tables;
     private final GroupTimings timings;
     private final Router router;
@@ -97,10 +100,13 @@
         });
     }
 
-    /** Returns the groups of a model that the log records. */
-    List<Group> groupsOf(ModelVersion model) {
-        return tables.log().with(v -> v.state().groupState().groups().stream()
-                .filter(x -> x.model().equals(model))
+    /** Returns the groups that are worth asking at once when none is known to be open: a few of this entry's subset. */
+    List<Group> worthAsking(Wanted wanted) {
+        List<Group> groups = tables.log().with(v -> v.state().groupState().groups().stream()
+                .filter(x -> x.model().equals(wanted.model()) && !wanted.avoid().contains(x.id()))
                 .toList());
+        List<GroupId> ids = groups.stream().map(Group::id).toList();
+        Set<GroupId> few = Subset.of(tables.id(), ids, MOST_ASKED);
+        return groups.stream().filter(g -> few.contains(g.id())).toList();
     }
 }
--- a/lab/src/main/java/org/baobabspindle/lab/RoutingExperiment.java
+++ b/lab/src/main/java/org/baobabspindle/lab/RoutingExperiment.java
@@ -7,10 +7,14 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 import org.baobabspindle.core.id.GroupId;
+import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.request.Candidate;
 import org.baobabspindle.core.request.Router;
+import org.baobabspindle.core.request.Subset;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -27,6 +31,9 @@
     @Option(name = "--entries", usage = "entries that choose, each with its own view")
     private int entries = 8;
 
+    @Option(name = "--subset", usage = "groups that each entry keeps track of; 0 for all")
+    private int subset;
+
     @Option(name = "--load", usage = "offered load as a share of what all groups can take")
     private double load = 0.6;
 
@@ -108,6 +115,7 @@
         private final int[][] outstanding = new int[entries][groups];
         private final double[][] seenFirst = new double[entries][groups];
         private final PriorityQueue<Ending> endings = new PriorityQueue<>();
+        private final List<Set<GroupId>> subsets = new ArrayList<>();
         private final Histogram firstToken = new Histogram(3);
         private final Histogram between = new Histogram(3);
         private long hits;
@@ -117,6 +125,9 @@
 
         Run(Way way) {
             this.way = way;
+            for (int e = 0; e < entries; e++) {
+                subsets.add(subsetOf(e));
+            }
             for (int g = 0; g < groups; g++) {
                 servers.add(new ModelGroup(g == 0 ? slowFactor : 1, reportLag));
             }
@@ -191,9 +202,17 @@
             return best;
         }
 
+        private Set<GroupId> subsetOf(int entry) {
+            List<GroupId> all = IntStream.range(0, groups).mapToObj(GroupId::of).toList();
+            return Subset.of(Incarnation.of("e" + entry, 1), all, subset == 0 ? groups : subset);
+        }
+
         private int product(double now, int entry, int prefix) {
             List<Candidate> candidates = new ArrayList<>();
             for (int g = 0; g < groups; g++) {
+                if (!subsets.get(entry).contains(GroupId.of(g))) {
+                    continue;
+                }
                 Duration first = Duration.ofNanos((long) (seenFirst[entry][g] * 1e9));
                 candidates.add(new Candidate(
                         GroupId.of(g),
