Recorded traces of the log and their replay; a malformed frame no longer takes all memory

Cause: MessagePack values carry their length, and the reader makes room before it reads, so one spoiled frame, even before its sender had proved itself, ended in OutOfMemoryError. Frames are now walked without allocation first and refused if a value claims more than the body holds. Ruled out: the frame's own length, which is bounded before reading.

--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/log/Trace.java
@@ -0,0 +1,72 @@
+package org.baobabspindle.core.log;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.id.LogOffset;
+
+/** Recorded logs with the verdict on each record, one JSON object a line; replaying one shows what has changed. */
+public final class Trace {
+    private Trace() {}
+
+    /**
+     * A verdict that differs from the recorded one.
+     *
+     * @param offset the offset of the record
+     * @param recorded the recorded verdict
+     * @param now the verdict of this version
+     */
+    public record Difference(LogOffset offset, String recorded, String now) {}
+
+    /**
+     * Replays a record and writes it down with its verdict.
+     *
+     * @param state the state that all earlier records left; the record is applied to it
+     * @param line the record
+     * @return one line of a trace
+     */
+    public static String record(ReplayedState state, String line) {
+        Verdict verdict = state.apply(state.next(), line);
+        ObjectNode recorded = LogCodec.mapper().createObjectNode();
+        return recorded.put("record", line).put("verdict", text(verdict)).toString();
+    }
+
+    /**
+     * Replays a trace from its first record.
+     *
+     * @param lines the lines of the trace
+     * @return the first difference, or empty if every verdict is as recorded
+     * @throws IllegalArgumentException if a line is not one of a trace
+     */
+    public static Optional<Difference> replay(List<String> lines) {
+        ReplayedState state = new ReplayedState();
+        for (String line : lines) {
+            JsonNode recorded = parse(line);
+            LogOffset offset = state.next();
+            String now = text(state.apply(offset, recorded.path("record").asText()));
+            if (!now.equals(recorded.path("verdict").asText())) {
+                return Optional.of(
+                        new Difference(offset, recorded.path("verdict").asText(), now));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String text(Verdict verdict) {
+        return verdict.reason().isEmpty() ? verdict.kind().name() : verdict.kind() + ": " + verdict.reason();
+    }
+
+    private static JsonNode parse(String line) {
+        try {
+            JsonNode node = LogCodec.mapper().readTree(line);
+            if (!node.path("record").isTextual() || !node.path("verdict").isTextual()) {
+                throw new IllegalArgumentException("not a line of a trace: " + line);
+            }
+            return node;
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not a line of a trace: " + line, e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/log/TraceTests.java
@@ -0,0 +1,30 @@
+package org.baobabspindle.core.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TraceTests {
+    private static List<String> demonstration() throws IOException {
+        return Files.readAllLines(Path.of("src/test/resources/traces/demonstration.jsonl"));
+    }
+
+    @Test
+    void everyRecordOfTheDemonstrationIsJudgedAsRecorded() throws IOException {
+        List<String> lines = demonstration();
+        assertThat(lines.size()).isAtLeast(30);
+        assertThat(Trace.replay(lines)).isEmpty();
+    }
+
+    @Test
+    void aRecordThatIsTakenAwayShowsInALaterVerdict() throws IOException {
+        List<String> lines = new ArrayList<>(demonstration());
+        lines.removeIf(l -> l.contains("configuration-patched") && l.contains("ACCEPTED"));
+        assertThat(Trace.replay(lines)).isPresent();
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/cli/Main.java
+++ b/entry/src/main/java/org/baobabspindle/cli/Main.java
@@ -27,7 +27,9 @@
         Map<String, Command> commands = new TreeMap<>(Map.of(
                 "entry", new EntryCommand(),
                 "check-settings", new CheckSettingsCommand(),
-                "configuration", new ConfigurationCommand()));
+                "configuration", new ConfigurationCommand(),
+                "trace", new TraceCommand(),
+                "replay", new ReplayCommand()));
         if (args.length == 0 || args[0].equals("--help")) {
             usage(commands, out);
             return args.length == 0 ? USAGE_STATUS : 0;
--- a/entry/src/main/java/org/baobabspindle/peer/FrameCodec.java
+++ b/entry/src/main/java/org/baobabspindle/peer/FrameCodec.java
@@ -5,6 +5,9 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /** Frames on the wire: a length of four bytes, a version byte and a MessagePack body. */
@@ -29,6 +32,7 @@
     }
 
     static PeerFrame decode(byte[] body) throws IOException {
+        checkLengths(body);
         try {
             PeerFrame frame = MAPPER.readValue(body, PeerFrame.class);
             if (frame == null || frame.message() == null) {
@@ -40,6 +44,18 @@
         }
     }
 
+    /** Refuses values that claim to be longer than the body; the reader would make room for them first. */
+    private static void checkLengths(byte[] body) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            unpacker.skipValue();
+            if (unpacker.getTotalReadBytes() != body.length) {
+                throw new IOException("a frame of more or less than one value");
+            }
+        } catch (MessagePackException e) {
+            throw new IOException("a malformed frame", e);
+        }
+    }
+
     static int write(DataOutputStream out, PeerFrame frame) throws IOException {
         byte[] body = encode(frame);
         out.writeInt(body.length);
