A busy log is read at most every 0.4 s; an entry is ready once it has read the instance list

Cause 2: an entry took requests before it knew where engines listen, so the first ones got 503; seen once in RestartTests when the poll of the list had become slower. The list is read at once, and readiness waits for it.

--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -102,6 +102,7 @@
         this.peerServer = PeerServer.start(settings.host(), settings.peerPort(), secret, workers, answers, traffic);
         this.tables = tables(settings, id, clock, callerServer.port(), peerServer.port());
         this.follower = new LogFollower(log, clock::instant, longPoll(settings), new LogSink(tables, appender));
+        appender.onAppended(follower::nudge);
         EngineClient engines = new EngineClient(pooled);
         EvidenceLoop evidence = new EvidenceLoop(tables, peers, engines, GroupTimings.DEFAULT);
         ServiceClient serviceClient = new ServiceClient(fresh, pooled);
@@ -174,6 +175,7 @@
         KeeperLoop keeper = new KeeperLoop(tables, appender::append, engines);
         MembershipLoop membership = new MembershipLoop(tables, appender::append, asker);
         SnapshotLoop snapshots = new SnapshotLoop(tables, appender::append, settings.snapshotRecords());
+        workers.execute(platform::readList);
         every(LIST_INTERVAL, platform::readList);
         every(SERVICE_INTERVAL, platform::askServices);
         every(EVIDENCE_INTERVAL, evidence::run);
--- a/entry/src/main/java/org/baobabspindle/node/PlatformLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/PlatformLoop.java
@@ -25,7 +25,7 @@
     }
 
     /** Reads the instance list once. */
-    void readList() {
+    synchronized void readList() {
         try {
             list.poll().ifPresent(l -> tables.groups().use(g -> g.instances(l)));
             silent = false;
--- a/entry/src/main/java/org/baobabspindle/platform/LogAppender.java
+++ b/entry/src/main/java/org/baobabspindle/platform/LogAppender.java
@@ -32,6 +32,7 @@
     private final Incarnation self;
     private final Map<String, Long> appended = new HashMap<>();
     private final TreeMap<Long, Pending> pending = new TreeMap<>();
+    private Runnable appendedNotice = () -> {};
     private long nextSequence = 1;
 
     /**
@@ -117,6 +118,19 @@
         return Map.copyOf(appended);
     }
 
+    /**
+     * Sets what is told whenever records have been appended.
+     *
+     * @param notice called on the appending thread
+     */
+    public synchronized void onAppended(Runnable notice) {
+        appendedNotice = notice;
+    }
+
+    private synchronized Runnable appendedNotice() {
+        return appendedNotice;
+    }
+
     /** Appends queued records until the thread is interrupted. */
     public void run() {
         try {
@@ -151,6 +165,7 @@
             Thread.sleep(RETRY_PAUSE.toMillis());
             return;
         }
+        appendedNotice().run();
         awaitReplay(batch.lastKey());
     }
 
--- a/entry/src/main/java/org/baobabspindle/platform/LogFollower.java
+++ b/entry/src/main/java/org/baobabspindle/platform/LogFollower.java
@@ -9,6 +9,8 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.log.LogCodec;
@@ -19,12 +21,14 @@
 /** Reads the log from its first record, or from the first snapshot it still keeps, and hands every record to replay. */
 public final class LogFollower {
     private static final Logger LOGGER = System.getLogger(LogFollower.class.getName());
+    private static final Duration GATHER_PAUSE = Duration.ofMillis(400);
     private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
 
     private final LogClient client;
     private final Supplier<Instant> clock;
     private final Duration longPoll;
     private final Sink sink;
+    private final Semaphore nudges = new Semaphore(0);
     private final CompletableFuture<Void> caughtUp = new CompletableFuture<>();
     private Optional<LogOffset> headAtStart = Optional.empty();
 
@@ -79,14 +83,23 @@
         return caughtUp.copy();
     }
 
+    /** Has the log read at once, since this entry has appended to it and waits for its records. */
+    public void nudge() {
+        nudges.release();
+    }
+
     /** Follows the log until the thread is interrupted. */
     public void run() {
         LogOffset next = LogOffset.of(0);
         boolean silent = false;
         while (!Thread.currentThread().isInterrupted()) {
             try {
+                LogOffset before = next;
                 next = step(next);
                 silent = false;
+                if (caughtUp.isDone() && !next.equals(before)) {
+                    gather();
+                }
             } catch (IOException e) {
                 if (!silent) {
                     LOGGER.log(Level.WARNING, "the log cannot be read: {0}", e.getMessage());
@@ -99,6 +112,13 @@
         }
     }
 
+    /** Lets records gather, so that a busy log is not read once for each record, unless this entry waits for its own. */
+    private void gather() throws InterruptedException {
+        if (nudges.tryAcquire(GATHER_PAUSE.toMillis(), TimeUnit.MILLISECONDS)) {
+            nudges.drainPermits();
+        }
+    }
+
     private LogOffset step(LogOffset next) throws IOException, InterruptedException {
         Instant askedAt = clock.get();
         LogPage page = client.read(next, longPoll);
--- a/entry/src/main/java/org/baobabspindle/serving/Admission.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Admission.java
@@ -51,6 +51,9 @@
         if (!fresh.isFresh()) {
             return Optional.of(notRun("the configuration may have changed unseen: " + fresh, STALE_RETRY));
         }
+        if (!tables.groups().with(GroupTables::isListRead)) {
+            return Optional.of(notRun("the instance list has not been read yet", STALE_RETRY));
+        }
         return Optional.empty();
     }
 
--- a/entry/src/main/java/org/baobabspindle/serving/GroupTables.java
+++ b/entry/src/main/java/org/baobabspindle/serving/GroupTables.java
@@ -19,6 +19,7 @@
     private final Keeper keeper;
     private final Map<Incarnation, Boolean> serviceLeaving = new HashMap<>();
     private InstanceList instances = InstanceList.EMPTY;
+    private boolean listRead;
 
     /**
      * Creates empty tables.
@@ -72,6 +73,16 @@
      */
     public void instances(InstanceList list) {
         instances = list;
+        listRead = true;
+    }
+
+    /**
+     * Tells whether the instance list has been read since this entry started.
+     *
+     * @return whether this entry can know where backend servers listen
+     */
+    public boolean isListRead() {
+        return listRead;
     }
 
     /**
--- a/entry/src/test/java/org/baobabspindle/node/RestartTests.java
+++ b/entry/src/test/java/org/baobabspindle/node/RestartTests.java
@@ -39,6 +39,16 @@
         assertThat(bed.chat(2, "x", 2, false).statusCode()).isEqualTo(200);
     }
 
+    @Test
+    void anEntryThatCannotReadTheInstanceListIsNotReady() throws Exception {
+        bed.post("http://127.0.0.1:" + bed.instances.port() + "/switch", "", "{\"down\": true}", java.util.Map.of());
+        bed.startEntry("e2");
+        TestBed.await(() -> bed.view(0).path("entries").size() == 3);
+        assertThat(bed.get(bed.url(2) + "/readyz", "").body()).contains("instance list");
+        bed.post("http://127.0.0.1:" + bed.instances.port() + "/switch", "", "{\"down\": false}", java.util.Map.of());
+        TestBed.await(() -> bed.get(bed.url(2) + "/readyz", "").statusCode() == 200);
+    }
+
     @Test
     void aKeyOfAnEntryThatIsGoneIsUnknownNotRunAgain() throws Exception {
         String key = bed.ticket(1) + "order";
--- a/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
+++ b/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
@@ -35,6 +35,7 @@
 import org.baobabspindle.core.request.KeyTable;
 import org.baobabspindle.core.request.Outcome;
 import org.baobabspindle.core.request.Ticket;
+import org.baobabspindle.platform.InstanceList;
 import org.baobabspindle.platform.LogAppender;
 
 /** Entries that serve keyed requests over a list as the log and a counter as the backend server. */
@@ -131,6 +132,7 @@
                     Guarded.of(Guarded.Rank.GROUPS, new GroupTables(new Keeper(id(), REGION, GroupTimings.DEFAULT))),
                     Guarded.of(Guarded.Rank.KEYS, new Keys(new KeyTable(100, 10_000, Ticket.MEMORY))),
                     Guarded.of(Guarded.Rank.LOADS, new Loads()));
+            tables.groups().use(g -> g.instances(InstanceList.EMPTY));
             Admission admission = new Admission(
                     tables,
                     new AccountTokens(tables, (home, account, wanted) -> OptionalInt.empty()),
