A stopping entry claims nothing; intents end with their lifetime; the loss of another member suspects no request

Cause 1: the keeper and membership loops of a stopping entry went on after it had released its domains, so it could claim them again and leave them to lapse (9 s). Cause 2: intents were never let go and grew without bound at every entry (389 bytes each); they end after 24 h, counted from when they were read. Cause 3: every request in flight became a suspect when any member of a group was lost, and suspects run one at a time on a group; now only when the first member, which runs them, is gone too.

--- a/core/src/main/java/org/baobabspindle/core/group/Keeper.java
+++ b/core/src/main/java/org/baobabspindle/core/group/Keeper.java
@@ -15,6 +15,7 @@
 import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.id.Region;
 import org.baobabspindle.core.log.EntryDescription;
+import org.baobabspindle.core.log.Group;
 import org.baobabspindle.core.log.KeeperClaim;
 import org.baobabspindle.core.log.KeeperClaimed;
 import org.baobabspindle.core.log.KeeperRenewed;
@@ -117,7 +118,7 @@
      * @param group the group
      * @return the state of the group, or empty if this entry does not keep its domain
      */
-    public Optional<Assessment> assess(Instant now, KeeperView view, org.baobabspindle.core.log.Group group) {
+    public Optional<Assessment> assess(Instant now, KeeperView view, Group group) {
         Optional<KeeperClaim> claim = view.state().groupState().claim(group.domain());
         if (claim.isEmpty() || !holds(now, claim.get())) {
             return Optional.empty();
@@ -154,8 +155,7 @@
         }
         renewing = true;
         renewalSentAt = Optional.of(now);
-        return Optional.of(
-                new KeeperAction.Append(null, new KeeperRenewed(now.toEpochMilli()), now, "lease renewal is due"));
+        return Optional.of(new KeeperAction.Append(null, new KeeperRenewed(), now, "lease renewal is due"));
     }
 
     private Optional<KeeperAction> claim(
--- a/core/src/main/java/org/baobabspindle/core/request/Ticket.java
+++ b/core/src/main/java/org/baobabspindle/core/request/Ticket.java
@@ -1,5 +1,6 @@
 package org.baobabspindle.core.request;
 
+import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -44,7 +45,7 @@
             Incarnation home = Incarnation.parse(text.substring(MARK.length(), afterHome));
             long seconds = Long.parseLong(text.substring(afterHome + 1, afterTime), RADIX);
             return Optional.of(new Ticket(home, Instant.ofEpochSecond(seconds)));
-        } catch (IllegalArgumentException | java.time.DateTimeException e) {
+        } catch (IllegalArgumentException | DateTimeException e) {
             return Optional.empty();
         }
     }
--- a/core/src/test/java/org/baobabspindle/core/log/FuzzedRecordProperties.java
+++ b/core/src/test/java/org/baobabspindle/core/log/FuzzedRecordProperties.java
@@ -38,7 +38,7 @@
                 new ConfigurationPatched(ConfigurationVersion.of(0), patch),
                 new EntryJoined(entry, 0, Set.of(A)),
                 new KeeperClaimed(d, LogOffset.of(0)),
-                new KeeperRenewed(5),
+                new KeeperRenewed(),
                 new GroupFormed(d, LogOffset.of(2), ModelVersion.parse("m@1"), List.of(Incarnation.of("x", 1))),
                 new RequestIntended(ClientAccountId.of("c"), RequestKey.of("k")),
                 new CrashSuspected("f", GroupId.of(4)),
--- a/core/src/test/java/org/baobabspindle/core/log/ReplayedStateTests.java
+++ b/core/src/test/java/org/baobabspindle/core/log/ReplayedStateTests.java
@@ -186,7 +186,7 @@
         @Test
         void isDroppedWhenItArrivesAfterALaterRecordOfItsWriter() {
             String early = LogCodec.write(new LogEnvelope(A, 1, new KeeperClaimed(DOMAIN, LogOffset.of(0))));
-            state.apply(state.next(), LogCodec.write(new LogEnvelope(A, 2, new KeeperRenewed(0))));
+            state.apply(state.next(), LogCodec.write(new LogEnvelope(A, 2, new KeeperRenewed())));
             assertThat(state.apply(state.next(), early)).isEqualTo(Verdict.DUPLICATE);
         }
     }
--- a/core/src/test/java/org/baobabspindle/core/request/RouterTests.java
+++ b/core/src/test/java/org/baobabspindle/core/request/RouterTests.java
@@ -91,11 +91,20 @@
         assertThat(RetryDecision.of(Settlement.NOT_RUN, false, 1, budget)).isEqualTo(RetryDecision.GIVE_UP_NOT_RUN);
     }
 
+    private static CrashJudgement judge(boolean lead, int members, int witnesses, int answering) {
+        return CrashJudgement.of(new CrashJudgement.Answers(lead, members, witnesses, answering));
+    }
+
     @Test
     void onlyADomainWhoseOtherEnginesFellSilentIsDark() {
-        assertThat(CrashJudgement.of(0, 3, 0)).isEqualTo(CrashJudgement.DARK_DOMAIN);
-        assertThat(CrashJudgement.of(0, 3, 1)).isEqualTo(CrashJudgement.SUSPECT);
-        assertThat(CrashJudgement.of(0, 0, 0)).isEqualTo(CrashJudgement.SUSPECT);
-        assertThat(CrashJudgement.of(2, 3, 0)).isEqualTo(CrashJudgement.SUSPECT);
+        assertThat(judge(false, 0, 3, 0)).isEqualTo(CrashJudgement.DARK_DOMAIN);
+        assertThat(judge(false, 0, 3, 1)).isEqualTo(CrashJudgement.SUSPECT);
+        assertThat(judge(false, 0, 0, 0)).isEqualTo(CrashJudgement.SUSPECT);
+        assertThat(judge(false, 2, 3, 0)).isEqualTo(CrashJudgement.SUSPECT);
+    }
+
+    @Test
+    void theLossOfAnotherMemberSuspectsNoRequest() {
+        assertThat(judge(true, 2, 3, 3)).isEqualTo(CrashJudgement.MEMBER_LOST);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.application.ServiceClient;
@@ -65,6 +66,7 @@
     private static final Duration EVIDENCE_INTERVAL = Duration.ofMillis(700);
     private static final Duration FRESHNESS_INTERVAL = Duration.ofSeconds(1);
     private static final Duration SNAPSHOT_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration EXPIRY_INTERVAL = Duration.ofMinutes(1);
     private static final Duration KEEPER_INTERVAL = Duration.ofMillis(500);
     private static final Duration MEMBERSHIP_INTERVAL = Duration.ofSeconds(3);
     private static final Duration SETTLE_WAIT = Duration.ofSeconds(3);
@@ -83,6 +85,7 @@
     private final CallerServer callerServer;
     private final Services services;
     private final AtomicInteger inProgress = new AtomicInteger();
+    private final AtomicBoolean stopping = new AtomicBoolean();
 
     private EntryNode(EntrySettings settings, Listeners listeners) throws IOException {
         this.settings = settings;
@@ -180,13 +183,15 @@
         every(SERVICE_INTERVAL, platform::askServices);
         every(EVIDENCE_INTERVAL, evidence::run);
         every(FRESHNESS_INTERVAL, freshness::run);
-        every(SNAPSHOT_INTERVAL, snapshots::run);
+        every(SNAPSHOT_INTERVAL, () -> ifCaughtUp(snapshots::run));
+        every(EXPIRY_INTERVAL, () -> ifCaughtUp(snapshots::expireIntents));
         every(KEEPER_INTERVAL, () -> ifCaughtUp(keeper::run));
         every(MEMBERSHIP_INTERVAL, () -> ifCaughtUp(membership::run));
     }
 
+    /** Runs a step that speaks for this entry in the log: only once it has read the log, and not when it is stopping. */
     private void ifCaughtUp(Runnable loop) {
-        if (follower.caughtUp().isDone()) {
+        if (follower.caughtUp().isDone() && !stopping.get()) {
             loop.run();
         }
     }
@@ -232,6 +237,7 @@
     /** Stops without cutting off a request in progress: leaves the address answers, waits, finishes and exits. */
     public void stopGracefully() {
         DecisionLog.write("stop", "told to stop; leaving the address answers", "entry", tables.id());
+        stopping.set(true);
         append(new EntryLeaving());
         append(new KeepersReleased());
         sleep(settings.addressLifetimeMillis());
--- a/entry/src/main/java/org/baobabspindle/node/SnapshotLoop.java
+++ b/entry/src/main/java/org/baobabspindle/node/SnapshotLoop.java
@@ -2,23 +2,27 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.baobabspindle.core.group.Rendezvous;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.log.EntryDescription;
+import org.baobabspindle.core.log.IntentsExpired;
 import org.baobabspindle.core.log.ReplayedState;
 import org.baobabspindle.core.log.SnapshotTaken;
+import org.baobabspindle.core.request.IntentLifetime;
 import org.baobabspindle.logging.DecisionLog;
 import org.baobabspindle.serving.Appends;
 import org.baobabspindle.serving.EntryTables;
 
-/** Appends a snapshot of the state when enough records have come since the last one. */
+/** Keeps the log short: appends snapshots when enough records have come, and lets go of intents past their lifetime. */
 final class SnapshotLoop {
     private final EntryTables tables;
     private final Appends appends;
     private final int every;
+    private final IntentLifetime intents = new IntentLifetime();
 
     SnapshotLoop(EntryTables tables, Appends appends, int every) {
         this.tables = tables;
@@ -26,17 +30,31 @@
         this.every = every;
     }
 
+    /** Lets go of intents past their lifetime; the first entry by rank does so. */
+    void expireIntents() {
+        Instant now = tables.clock().instant();
+        Optional<IntentsExpired> due = tables.log().with(v -> {
+            Optional<IntentsExpired> expired = intents.look(now, v.state().next());
+            return rank(v.state()) == 0 ? expired : Optional.empty();
+        });
+        due.ifPresent(expired -> {
+            DecisionLog.write("expire-intents", "past " + IntentLifetime.LIFETIME, "through", expired.through());
+            appends.append(expired);
+        });
+    }
+
+    private int rank(ReplayedState state) {
+        List<Incarnation> entries =
+                state.membership().entries().stream().map(EntryDescription::id).toList();
+        return Rendezvous.rank("snapshot", entries).indexOf(tables.id());
+    }
+
     /** Looks once; the longer the last snapshot is past due, the more entries may write the next. */
     void run() {
         Optional<SnapshotTaken> due = tables.log().with(v -> {
             long since = v.state().next().value() - v.state().lastSnapshot().value();
-            List<Incarnation> writers = Rendezvous.rank(
-                            "snapshot", v.state().membership().entries())
-                    .stream()
-                    .map(EntryDescription::id)
-                    .toList();
             long allowed = since / every;
-            int rank = writers.indexOf(tables.id());
+            int rank = rank(v.state());
             return rank >= 0 && rank < allowed ? Optional.of(take(v.state())) : Optional.empty();
         });
         due.ifPresent(snapshot -> {
--- a/entry/src/main/java/org/baobabspindle/peer/PeerServer.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerServer.java
@@ -4,12 +4,14 @@
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -108,7 +110,7 @@
                 PeerFrame ask = FrameCodec.read(in, FrameCodec.MAX_FRAME_BYTES);
                 workers.execute(() -> answer(ask, out, socket));
             }
-        } catch (java.io.EOFException | java.net.SocketException | RejectedExecutionException e) {
+        } catch (EOFException | SocketException | RejectedExecutionException e) {
             LOGGER.log(Level.DEBUG, "peer connection ended: {0}", e.getMessage());
         } catch (IOException e) {
             LOGGER.log(Level.WARNING, "peer {0}: {1}", socket.getRemoteSocketAddress(), e.getMessage());
--- a/entry/src/main/java/org/baobabspindle/serving/CrashWatch.java
+++ b/entry/src/main/java/org/baobabspindle/serving/CrashWatch.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.baobabspindle.core.group.Assessment;
 import org.baobabspindle.core.group.MemberReport;
 import org.baobabspindle.core.group.PlatformInstance;
@@ -76,13 +78,20 @@
                 }
             }
         }));
+        AtomicBoolean leadAnswering = new AtomicBoolean();
         AtomicInteger membersAnswering = new AtomicInteger();
         AtomicInteger witnessesAnswering = new AtomicInteger();
         List<CompletableFuture<Void>> asked = new ArrayList<>();
-        members.forEach(e -> asked.add(ask(now, e, membersAnswering)));
-        witnesses.stream().limit(MOST_WITNESSES).forEach(e -> asked.add(ask(now, e, witnessesAnswering)));
+        members.forEach(e -> asked.add(ask(now, e, r -> {
+            membersAnswering.incrementAndGet();
+            leadAnswering.compareAndSet(false, r.member().equals(group.lead()));
+        })));
+        witnesses.stream()
+                .limit(MOST_WITNESSES)
+                .forEach(e -> asked.add(ask(now, e, r -> witnessesAnswering.incrementAndGet())));
         await(CompletableFuture.allOf(asked.toArray(CompletableFuture<?>[]::new)), PROBE_WAIT);
-        return CrashJudgement.of(membersAnswering.get(), witnesses.size(), witnessesAnswering.get());
+        return CrashJudgement.of(new CrashJudgement.Answers(
+                leadAnswering.get(), membersAnswering.get(), witnesses.size(), witnessesAnswering.get()));
     }
 
     /** An engine answered lately if it reported to this entry, or if the group it is in was confirmed. */
@@ -102,11 +111,11 @@
         return reported || confirmed;
     }
 
-    private CompletableFuture<Void> ask(Instant now, PlatformInstance engine, AtomicInteger answering) {
+    private CompletableFuture<Void> ask(Instant now, PlatformInstance engine, Consumer<MemberReport> answered) {
         return engines.report(engine, now)
                 .thenAccept(r -> {
                     note(r);
-                    answering.incrementAndGet();
+                    answered.accept(r);
                 })
                 .exceptionally(e -> null);
     }
--- a/entry/src/main/java/org/baobabspindle/serving/Services.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Services.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.application.ServiceClient;
 import org.baobabspindle.core.configuration.AccountSetting;
@@ -114,7 +115,7 @@
      * @param most how long to wait
      * @return whether it became zero
      */
-    public boolean awaitIdle(java.util.function.IntSupplier inProgress, Duration most) {
+    public boolean awaitIdle(IntSupplier inProgress, Duration most) {
         long until = System.nanoTime() + most.toNanos();
         while (inProgress.getAsInt() > 0) {
             if (System.nanoTime() > until) {
--- a/lab/src/main/java/org/baobabspindle/lab/PlacementExperiment.java
+++ b/lab/src/main/java/org/baobabspindle/lab/PlacementExperiment.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.baobabspindle.core.configuration.PlacementPolicy;
 import org.baobabspindle.core.group.Assessment;
 import org.baobabspindle.core.group.GroupTimings;
@@ -135,7 +136,7 @@
                     .put("instancesPerGroup", groupSize)
                     .put("groups", groups);
             models.putObject("small@1").put("instancesPerGroup", SMALL_SIZE).put("groups", smallGroups);
-            write(new LogEnvelope(Fleet.SELF, 1, new EntryJoined(Fleet.entry(Fleet.SELF), 0, java.util.Set.of())));
+            write(new LogEnvelope(Fleet.SELF, 1, new EntryJoined(Fleet.entry(Fleet.SELF), 0, Set.of())));
             write(new LogEnvelope(Fleet.SELF, 2, new ConfigurationPatched(ConfigurationVersion.of(0), patch)));
             sequence = 2;
         }
--- a/lab/src/main/java/org/baobabspindle/lab/SlopesExperiment.java
+++ b/lab/src/main/java/org/baobabspindle/lab/SlopesExperiment.java
@@ -190,7 +190,7 @@
 
     private Step replayRenewal(int claims) {
         Fleet fleet = new Fleet().withGroups(claims, 2);
-        return () -> fleet.write(new KeeperRenewed(0));
+        return () -> fleet.write(new KeeperRenewed());
     }
 
     private Step snapshot(int groups) {
