A stop waits for requests that other entries have handed over

Cause: only requests that came over HTTP were counted as in progress, so an entry that was stopping cut off those it ran for others. Found by reading; anEntryThatIsToldToStopEndsWhatOthersHaveHandedOver fails without the count (the caller got unknown instead of 400 tokens) and passes with it. Ruled out: the wait itself (requests over HTTP ended whole before).

--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -87,10 +87,10 @@
     private final AtomicInteger inProgress = new AtomicInteger();
     private final AtomicBoolean stopping = new AtomicBoolean();
 
-    private EntryNode(EntrySettings settings, Listeners listeners) throws IOException {
+    private EntryNode(EntrySettings settings, CallerServer callers) throws IOException {
         this.settings = settings;
         MonotonicClock clock = new MonotonicClock();
-        this.callerServer = listeners.callers();
+        this.callerServer = callers;
         this.workers = Executors.newCachedThreadPool(Daemon.named("worker"));
         this.loops = Executors.newScheduledThreadPool(4, Daemon.named("loop"));
         this.pooled = HttpClients.pooled("http-polls");
@@ -119,7 +119,7 @@
                 new PeerHomes(peers),
                 evidence,
                 RandomGenerator.getDefault());
-        answers.set(new PeerAnswers(tables, services));
+        answers.set(new PeerAnswers(tables, services, inProgress));
         startLoops(evidence, engines, serviceClient, traffic);
     }
 
@@ -128,8 +128,6 @@
         return settings.freshness().dividedBy(3);
     }
 
-    private record Listeners(CallerServer callers) {}
-
     /**
      * Starts an entry. It takes requests once it has read the log to its head.
      *
@@ -139,7 +137,7 @@
      */
     public static EntryNode start(EntrySettings settings) throws Exception {
         CallerServer callers = CallerServer.listen(settings.host(), settings.port());
-        EntryNode node = new EntryNode(settings, new Listeners(callers));
+        EntryNode node = new EntryNode(settings, callers);
         callers.start();
         return node;
     }
--- a/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
+++ b/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.baobabspindle.caller.Problem;
 import org.baobabspindle.core.freshness.VersionVector;
@@ -28,10 +29,12 @@
 
     private final EntryTables tables;
     private final Services services;
+    private final AtomicInteger inProgress;
 
-    PeerAnswers(EntryTables tables, Services services) {
+    PeerAnswers(EntryTables tables, Services services, AtomicInteger inProgress) {
         this.tables = tables;
         this.services = services;
+        this.inProgress = inProgress;
     }
 
     @Override
@@ -43,7 +46,7 @@
             return groups(g);
         }
         if (ask instanceof PeerMessage.ForwardAsk f) {
-            return forwarded(f);
+            return countForwarded(f);
         }
         if (ask instanceof PeerMessage.TokensAsk t) {
             return new PeerMessage.TokensAnswer(services.grant(t.account(), t.wanted()));
@@ -75,6 +78,16 @@
         return new PeerMessage.GroupDigest(a.group(), a.lifecycle(), age, a.running());
     }
 
+    /** Requests of other entries are in progress here too, so a stop waits for them. */
+    private PeerMessage countForwarded(PeerMessage.ForwardAsk ask) {
+        inProgress.incrementAndGet();
+        try {
+            return forwarded(ask);
+        } finally {
+            inProgress.decrementAndGet();
+        }
+    }
+
     private PeerMessage forwarded(PeerMessage.ForwardAsk ask) {
         CallerRequest request = new CallerRequest(
                 ask.account(),
--- a/entry/src/test/java/org/baobabspindle/node/TestBed.java
+++ b/entry/src/test/java/org/baobabspindle/node/TestBed.java
@@ -141,12 +141,17 @@
 
     HttpResponse<String> chat(int entry, String content, int tokens, boolean stream)
             throws IOException, InterruptedException {
+        return chat(entry, content, tokens, stream, Map.of());
+    }
+
+    HttpResponse<String> chat(int entry, String content, int tokens, boolean stream, Map<String, String> headers)
+            throws IOException, InterruptedException {
         ObjectNode body = JSON.createObjectNode()
                 .put("model", "m")
                 .put("max_tokens", tokens)
                 .put("stream", stream);
         body.putArray("messages").addObject().put("role", "user").put("content", content);
-        return post(url(entry) + "/v1/chat/completions", CALLER, body.toString(), Map.of());
+        return post(url(entry) + "/v1/chat/completions", CALLER, body.toString(), headers);
     }
 
     HttpResponse<String> book(int entry, String key, String reference) throws IOException, InterruptedException {
--- a/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
+++ b/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.baobabspindle.standins.EngineStandin;
@@ -37,9 +38,14 @@
     }
 
     private CompletableFuture<HttpResponse<String>> chatLater(int entry, String content, int tokens) {
+        return chatLater(entry, content, tokens, Map.of());
+    }
+
+    private CompletableFuture<HttpResponse<String>> chatLater(
+            int entry, String content, int tokens, Map<String, String> headers) {
         return CompletableFuture.supplyAsync(() -> {
             try {
-                return bed.chat(entry, content, tokens, false);
+                return bed.chat(entry, content, tokens, false, headers);
             } catch (Exception e) {
                 throw new CompletionException(e);
             }
@@ -137,9 +143,18 @@
         TestBed.await(() -> bed.view(0).path("entries").size() == 2);
     }
 
+    @Test
+    void anEntryThatIsToldToStopEndsWhatOthersHaveHandedOver() throws Exception {
+        Map<String, String> key = Map.of("Idempotency-Key", bed.ticket(2) + "long");
+        CompletableFuture<HttpResponse<String>> answer = chatLater(0, "handed over", 400, key);
+        TestBed.await(() -> busy() != null);
+        bed.entries.get(2).stopGracefully();
+        assertThat(answer.join().body()).contains(expected("handed over", 400));
+    }
+
     @Test
     void aLeavingInstanceGetsNothingNew() throws Exception {
-        bed.post("http://127.0.0.1:" + bed.service.port() + "/leave", "", "{}", java.util.Map.of());
+        bed.post("http://127.0.0.1:" + bed.service.port() + "/leave", "", "{}", Map.of());
         TestBed.await(() -> bed.book(0, bed.ticket(0) + "probe" + System.nanoTime(), "probe")
                         .statusCode()
                 == 503);
@@ -173,12 +188,10 @@
     @Test
     void aRequestOfACallerWhoMayNotIsRefusedAndSaysSo() throws Exception {
         String url = bed.url(0) + "/v1/chat/completions";
-        assertThat(bed.post(url, "nobody", "{}", java.util.Map.of()).statusCode())
-                .isEqualTo(401);
-        assertThat(bed.post(url, TestBed.CALLER, "{", java.util.Map.of()).statusCode())
-                .isEqualTo(400);
-        HttpResponse<String> other = bed.post(
-                url, TestBed.CALLER, "{\"model\":\"n\",\"messages\":[{\"content\":\"x\"}]}", java.util.Map.of());
+        assertThat(bed.post(url, "nobody", "{}", Map.of()).statusCode()).isEqualTo(401);
+        assertThat(bed.post(url, TestBed.CALLER, "{", Map.of()).statusCode()).isEqualTo(400);
+        HttpResponse<String> other =
+                bed.post(url, TestBed.CALLER, "{\"model\":\"n\",\"messages\":[{\"content\":\"x\"}]}", Map.of());
         assertThat(other.statusCode()).isEqualTo(403);
         assertThat(other.body()).contains("\"run\":\"refused\"");
         assertThat(bed.get(bed.url(0) + "/admin/view", TestBed.CALLER).statusCode())
