--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -14,11 +12,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.application.ServiceClient;
-import org.baobabspindle.caller.EntriesEndpoint;
-import org.baobabspindle.caller.EntryHandler;
-import org.baobabspindle.caller.ModelsEndpoint;
-import org.baobabspindle.caller.Problem;
-import org.baobabspindle.caller.RequestEndpoint;
 import org.baobabspindle.core.freshness.Freshness;
 import org.baobabspindle.core.group.GroupTimings;
 import org.baobabspindle.core.group.Keeper;
@@ -33,11 +26,7 @@
 import org.baobabspindle.core.request.KeyTable;
 import org.baobabspindle.core.request.Ticket;
 import org.baobabspindle.http.HttpClients;
-import org.baobabspindle.http.Json;
 import org.baobabspindle.logging.DecisionLog;
-import org.baobabspindle.operator.ConfigurationEndpoint;
-import org.baobabspindle.operator.OperatorAccess;
-import org.baobabspindle.operator.ViewEndpoint;
 import org.baobabspindle.peer.PeerClient;
 import org.baobabspindle.peer.PeerSecret;
 import org.baobabspindle.peer.PeerServer;
@@ -168,7 +157,8 @@
         VersionAsker asker = new VersionAsker(tables, peers);
         FreshnessLoop freshness = new FreshnessLoop(tables, asker);
         EntryMetrics metrics = new EntryMetrics(tables, traffic, appender, () -> HttpClients.bytes(pooled));
-        callerServer.handle(endpoints(metrics, freshness), inProgress);
+        callerServer.handle(
+                new Endpoints(settings, tables, services).of(metrics, appender::append, freshness), inProgress);
         Daemon.named("log-follower").newThread(follower::run).start();
         Daemon.named("log-appender").newThread(appender::run).start();
         PlatformLoop platform =
@@ -198,31 +188,6 @@
         Loop.every(loops, workers, pause, loop);
     }
 
-    private Map<String, EntryHandler.Endpoint> endpoints(EntryMetrics metrics, FreshnessLoop freshness) {
-        RequestEndpoint requests = new RequestEndpoint(tables, services.requests(), metrics, settings.maxBodyBytes());
-        Map<String, EntryHandler.Endpoint> all = new HashMap<>();
-        all.put("/v1/chat/completions", requests);
-        all.put("/services/", requests);
-        all.put("/v1/models", new ModelsEndpoint(tables));
-        all.put("/v1/entries", new EntriesEndpoint(tables, Duration.ofMillis(settings.addressLifetimeMillis())));
-        all.put("/metrics", metrics);
-        all.put("/healthz", x -> x.answer(200, Json.object().put("alive", true)));
-        all.put("/readyz", x -> {
-            String why = services.whyNotReady().orElse("");
-            if (why.isEmpty()) {
-                x.answer(200, Json.object().put("ready", true));
-            } else {
-                x.answer(new Problem(503, "not-run", why, Duration.ofSeconds(1)));
-            }
-        });
-        String token = settings.operatorTokenSha256();
-        all.put(
-                "/admin/configuration",
-                new OperatorAccess(token, new ConfigurationEndpoint(tables, appender::append, freshness)));
-        all.put("/admin/view", new OperatorAccess(token, new ViewEndpoint(tables)));
-        return all;
-    }
-
     /**
      * Returns the port for callers.
      *
