A request that has crashed a group is told unknown, not refused

Cause: with its second crash the running request itself was answered refused, which says that it did not run, and its key was freed. Later sends are refused as before. aRequestThatCrashesEnginesDoesSoTwiceAtMost now asks for unknown first and passes.

--- a/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
+++ b/entry/src/main/java/org/baobabspindle/serving/ChatWork.java
@@ -26,7 +26,6 @@
 /** Runs chat completions on groups of model engines. */
 final class ChatWork implements Work {
     private static final Duration NO_GROUP_RETRY = Duration.ofSeconds(2);
-    private static final Duration QUARANTINE_RETRY = Duration.ofMinutes(10);
     private static final int TRIAL_POLL_MILLIS = 50;
 
     private final EntryTables tables;
@@ -178,8 +177,8 @@
         }
         crashes.broke(tables.clock().instant(), request, chosen.group());
         if (crashes.crashes(request) >= Suspects.QUARANTINE_CRASHES) {
-            String reason = "backend servers crashed while running this request";
-            return Optional.of(new Outcome.Refused(RefusalKind.QUARANTINED, reason, QUARANTINE_RETRY));
+            return Optional.of(new Outcome.Unknown(
+                    "backend servers crashed while running this request; it will be refused from now on"));
         }
         return Optional.empty();
     }
--- a/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
+++ b/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
@@ -165,6 +165,8 @@
 
     @Test
     void aRequestThatCrashesEnginesDoesSoTwiceAtMost() throws Exception {
+        HttpResponse<String> first = bed.chat(0, "bad " + EngineStandin.CRASH_MARK, 3, false);
+        assertThat(first.body()).contains("\"run\":\"unknown\"");
         for (int i = 0; i < 4; i++) {
             bed.chat(i % 3, "bad " + EngineStandin.CRASH_MARK, 3, false);
         }
