Operators see which requests are quarantined

Cause: a refused caller asks an operator, who could not see the quarantine. The view lists fingerprints. aRequestThatCrashesEnginesDoesSoTwiceAtMost asks for it and passes.

--- a/core/src/main/java/org/baobabspindle/core/log/Suspects.java
+++ b/core/src/main/java/org/baobabspindle/core/log/Suspects.java
@@ -1,6 +1,7 @@
 package org.baobabspindle.core.log;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -28,6 +29,17 @@
         return groups == null ? 0 : groups.size();
     }
 
+    /**
+     * Returns the requests that are refused.
+     *
+     * @return the fingerprints with enough crashes, the oldest first
+     */
+    public List<String> quarantined() {
+        return crashes.keySet().stream()
+                .filter(f -> crashes(f) >= QUARANTINE_CRASHES)
+                .toList();
+    }
+
     Map<String, Set<GroupId>> all() {
         return crashes;
     }
--- a/entry/src/main/java/org/baobabspindle/operator/ViewEndpoint.java
+++ b/entry/src/main/java/org/baobabspindle/operator/ViewEndpoint.java
@@ -13,7 +13,7 @@
 import org.baobabspindle.serving.EntryTables;
 import org.baobabspindle.serving.GroupTables;
 
-/** Shows operators the entries, the keepers, the groups and the instances as this entry sees them. */
+/** Shows operators the entries, the keepers, the groups and the quarantined requests as this entry sees them. */
 public final class ViewEndpoint implements EntryHandler.Endpoint {
     private static final String UNTRACKED = "UNTRACKED";
 
@@ -39,6 +39,8 @@
             v.state().membership().entries().forEach(e -> entries.add(entry(e)));
             ArrayNode keepers = answer.putArray("keepers");
             v.state().groupState().claims().forEach(c -> keepers.add(keeper(c)));
+            ArrayNode quarantined = answer.putArray("quarantined");
+            v.state().suspects().quarantined().forEach(quarantined::add);
             ArrayNode groups = answer.putArray("groups");
             tables.groups().use(g -> v.state().groupState().groups().forEach(x -> groups.add(group(x, g))));
         });
--- a/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
+++ b/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
@@ -173,6 +173,7 @@
         HttpResponse<String> last = bed.chat(0, "bad " + EngineStandin.CRASH_MARK, 3, false);
         assertThat(last.statusCode()).isEqualTo(422);
         assertThat(last.headers().firstValue("Retry-After")).isPresent();
+        assertThat(bed.view(0).path("quarantined").size()).isEqualTo(1);
         long crashed = bed.engines.stream().filter(e -> !answers(e)).count();
         assertThat(crashed).isEqualTo(2);
     }
