A key without a ticket that cannot be remembered gets unknown, not not-run

Cause: with a full key table the entry said not-run without asking the log, though another entry may have run the key. Ruled out for keys with tickets: their home is the only entry that may run them, so not-run is true there.

--- a/entry/src/main/java/org/baobabspindle/serving/RequestService.java
+++ b/entry/src/main/java/org/baobabspindle/serving/RequestService.java
@@ -121,6 +121,10 @@
                     "the log is away, so whether a key without a ticket was run before cannot be known; come back");
         }
         KeyTable.Decision decision = tables.keys().with(k -> k.begin(now, request, false));
+        if (decision instanceof KeyTable.Decision.Full) {
+            return new Outcome.Unknown(
+                    "no further key can be remembered, so the log was not asked who may run this key");
+        }
         if (!(decision instanceof KeyTable.Decision.Run)) {
             return answerWithoutRunning(decision, request, sink);
         }
--- a/entry/src/test/java/org/baobabspindle/serving/AtMostOnceProperties.java
+++ b/entry/src/test/java/org/baobabspindle/serving/AtMostOnceProperties.java
@@ -52,7 +52,7 @@
 
     @Property(tries = 2_000, seed = "20261206")
     void aKeyRunsAtMostOnceAndNotRunIsTrue(@ForAll long seed, @ForAll("steps") List<Step> steps) {
-        FakeCluster cluster = new FakeCluster(seed, 3);
+        FakeCluster cluster = new FakeCluster(seed, 3, 4);
         List<RequestKey> keys = new ArrayList<>(List.of(RequestKey.of("plain"), cluster.ticketed(0, "first")));
         for (Step s : steps) {
             switch (s.act()) {
--- a/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
+++ b/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
@@ -44,13 +44,15 @@
     private static final Region REGION = Region.of("r1");
 
     private final Random random;
+    private final int maxKeys;
     private final List<String> log = new ArrayList<>();
     private final List<Member> members = new ArrayList<>();
     private final Map<RequestKey, Integer> runs = new HashMap<>();
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private boolean logDown;
 
-    FakeCluster(long seed, int entries) {
+    FakeCluster(long seed, int entries, int maxKeys) {
+        this.maxKeys = maxKeys;
         random = new Random(seed);
         for (int i = 0; i < entries; i++) {
             members.add(new Member("e" + i));
@@ -130,7 +132,7 @@
                     () -> now,
                     Guarded.of(Guarded.Rank.STATE, new LogView(freshness)),
                     Guarded.of(Guarded.Rank.GROUPS, new GroupTables(new Keeper(id(), REGION, GroupTimings.DEFAULT))),
-                    Guarded.of(Guarded.Rank.KEYS, new Keys(new KeyTable(100, 10_000, Ticket.MEMORY))),
+                    Guarded.of(Guarded.Rank.KEYS, new Keys(new KeyTable(maxKeys, 10_000, Ticket.MEMORY))),
                     Guarded.of(Guarded.Rank.LOADS, new Loads()));
             tables.groups().use(g -> g.instances(InstanceList.EMPTY));
             Admission admission = new Admission(
