--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/LoadBoard.java
@@ -0,0 +1,90 @@
+package org.baobabspindle.core.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+
+/**
+ * The requests outstanding at each target: those of this entry, and those that other entries have last told of. Answers
+ * the load in which many entries send to the same targets at the same time.
+ */
+public final class LoadBoard {
+    /** Counts of an entry that is silent for longer are dropped; ten times the usual pause between two messages. */
+    private static final Duration PEER_COUNT_LIFETIME = Duration.ofSeconds(2);
+
+    private final Map<String, Integer> own = new HashMap<>();
+    private final Map<InstanceId, PeerCounts> peers = new HashMap<>();
+
+    /** Creates an empty board. */
+    public LoadBoard() {}
+
+    private record PeerCounts(Map<String, Integer> counts, Moment receivedAt) {}
+
+    /**
+     * Notes that a request was sent.
+     *
+     * @param target the key of the target
+     */
+    public void sent(String target) {
+        own.merge(target, 1, Integer::sum);
+    }
+
+    /**
+     * Notes that a request has ended.
+     *
+     * @param target the key of the target
+     */
+    public void ended(String target) {
+        own.computeIfPresent(target, (k, n) -> n > 1 ? n - 1 : null);
+    }
+
+    /**
+     * Takes over what another entry tells.
+     *
+     * @param entry the entry
+     * @param counts its outstanding requests by target
+     * @param now the present time
+     */
+    public void peerCounts(InstanceId entry, Map<String, Integer> counts, Moment now) {
+        peers.put(entry, new PeerCounts(Map.copyOf(counts), now));
+    }
+
+    /**
+     * Returns the requests of this entry.
+     *
+     * @return the counts by target
+     */
+    public Map<String, Integer> own() {
+        return Map.copyOf(own);
+    }
+
+    /**
+     * Returns the requests that this entry has outstanding at a target.
+     *
+     * @param target the key of the target
+     * @return the count
+     */
+    public int ownAt(String target) {
+        return own.getOrDefault(target, 0);
+    }
+
+    /**
+     * Adds up the counts of all entries.
+     *
+     * @param now the present time
+     * @return a function from the key of a target to the requests outstanding there
+     */
+    public Function<String, Integer> totals(Moment now) {
+        peers.values().removeIf(p -> now.since(p.receivedAt()).compareTo(PEER_COUNT_LIFETIME) > 0);
+        return target -> {
+            int total = own.getOrDefault(target, 0);
+            for (PeerCounts p : peers.values()) {
+                total += p.counts().getOrDefault(target, 0);
+            }
+            return total;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetChooser.java
@@ -0,0 +1,65 @@
+package org.baobabspindle.core.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.baobabspindle.core.id.AvailabilityZone;
+
+/**
+ * Chooses the target of a request: the one with the smallest share of its slots taken. Answers steady load over targets
+ * of different pace, and several entries that choose at the same time: targets about equally loaded are chosen at random.
+ */
+public final class TargetChooser {
+    /** How much fuller a target of this entry's own zone may be; about one request of twelve slots. */
+    private static final double OTHER_ZONE_PENALTY = 0.08;
+
+    /** Spreads the choices of entries that know the same counts; about one request of twelve slots. */
+    private static final double SPREAD = 0.08;
+
+    private final AvailabilityZone zone;
+    private final RandomGenerator random;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param zone the availability zone of this entry
+     * @param random spreads the choices
+     */
+    public TargetChooser(AvailabilityZone zone, RandomGenerator random) {
+        this.zone = zone;
+        this.random = random;
+    }
+
+    /**
+     * Chooses among the targets that have a slot free.
+     *
+     * @param targets the targets
+     * @param load the requests outstanding at a target, over all entries
+     * @param usable whether a target may be chosen at all
+     * @return the target; empty if none has a slot free
+     */
+    public Optional<Target> choose(List<Target> targets, Function<String, Integer> load, Predicate<Target> usable) {
+        Target best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (Target t : targets) {
+            int outstanding = load.apply(t.key());
+            if (outstanding >= t.slots() || !usable.test(t)) {
+                continue;
+            }
+            double score = score(t, outstanding);
+            if (score < bestScore) {
+                best = t;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double score(Target t, int outstanding) {
+        double taken = (outstanding + 1) * t.pace() / t.slots();
+        double distance = t.server().zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY;
+        return taken + distance + random.nextDouble() * SPREAD;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
@@ -0,0 +1,72 @@
+package org.baobabspindle.core.fleet;
+
+import java.util.Optional;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.Checks;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.InstanceId;
+
+/**
+ * What a backend server has last said of itself.
+ *
+ * @param id its id
+ * @param service the service it belongs to
+ * @param host its IP number
+ * @param port its TCP port
+ * @param zone its availability zone
+ * @param state whether it takes new work
+ * @param slots the requests it runs at the same time
+ * @param bornMillis when it started, in Unix milliseconds; a restart under the same id has a later one
+ * @param orderSequence the orders it has begun since its start
+ * @param domain its fabric domain; empty for plain services
+ * @param model the model whose weights it holds in its group
+ * @param staged the model whose weights its host holds
+ * @param group its place in a group
+ */
+public record BackendServer(
+        InstanceId id,
+        String service,
+        String host,
+        int port,
+        AvailabilityZone zone,
+        ServerState state,
+        int slots,
+        long bornMillis,
+        long orderSequence,
+        Optional<FabricDomain> domain,
+        Optional<String> model,
+        Optional<String> staged,
+        Optional<GroupMembership> group) {
+    /** Checks the address. */
+    public BackendServer {
+        Checks.identifier("service", service);
+        Checks.identifier("host", host);
+        Checks.require(port > 0 && port < 65_536, "port must be 1 to 65535 but was " + port);
+    }
+
+    /**
+     * Tells whether it takes new work.
+     *
+     * @return whether it does
+     */
+    public boolean ready() {
+        return state == ServerState.READY;
+    }
+
+    /**
+     * Returns the lifetime, which ends with a restart also where the id stays.
+     *
+     * @return the id and the start
+     */
+    public Lifetime lifetime() {
+        return new Lifetime(id, bornMillis);
+    }
+
+    /**
+     * One life of a backend server.
+     *
+     * @param id its id
+     * @param bornMillis its start, in Unix milliseconds
+     */
+    public record Lifetime(InstanceId id, long bornMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -0,0 +1,343 @@
+package org.baobabspindle.core.formation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.fleet.GroupMembership;
+import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.time.Moment;
+
+/**
+ * The keeper's decisions on the groups of its fabric domains: opens groups whose members are all ready, dissolves those
+ * that have lost one, and forms new ones from engines that are free.
+ *
+ * <p>An engine is free only once the head of its former group is known to have left it, to be broken or to be gone. Every
+ * order names the orders that the engine had begun when it was last seen, so that an order that is carried out late has no
+ * effect after a newer one.
+ */
+public final class Formation {
+    /** How long an order is awaited before it is sent again; several times a calm answer with the report after it. */
+    private static final Duration ORDER_PATIENCE = Duration.ofMillis(600);
+
+    /** How long a draining member's head may finish what it has; engines wait that long for it. */
+    private static final Duration CLOSE_PATIENCE = Duration.ofSeconds(10);
+
+    /** The time that a join may take beyond the one planned before the group is given up; loads share the store. */
+    private static final Duration JOIN_SLACK = Duration.ofSeconds(3);
+
+    private final Map<GroupKey, Forming> forming = new HashMap<>();
+    private final Map<GroupKey, BackendServer> heads = new HashMap<>();
+    private final Map<GroupKey, Moment> released = new HashMap<>();
+    private final Map<GroupKey, Moment> closing = new HashMap<>();
+    private final Map<OrderKey, Moment> ordered = new HashMap<>();
+
+    /** Creates decisions that know of no group. */
+    public Formation() {}
+
+    private record Forming(GroupPlanner.Plan plan, Moment startedAt) {}
+
+    private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind, long sequence) {}
+
+    /**
+     * What a keeper knows when it decides.
+     *
+     * @param profile how the engines work
+     * @param engines the engines of the service, of all domains
+     * @param lost the lives of engines that do not answer
+     * @param ownDomains whether this keeper decides for a domain
+     * @param demand the demand for each model
+     * @param epochs the source of epochs of new groups
+     * @param loadsAllowed how many engines may begin to load weights now
+     */
+    public record View(
+            EngineProfile profile,
+            Collection<BackendServer> engines,
+            Set<BackendServer.Lifetime> lost,
+            Predicate<FabricDomain> ownDomains,
+            ModelDemand demand,
+            EpochSource epochs,
+            int loadsAllowed) {}
+
+    /** Gives out epochs, each greater than all before. */
+    public interface EpochSource {
+        /**
+         * Returns the next epoch.
+         *
+         * @return the epoch
+         */
+        long next();
+    }
+
+    /**
+     * Decides what to order now.
+     *
+     * @param view what is known
+     * @param now the present time
+     * @return the orders to send
+     */
+    public List<FormationAction> decide(View view, Moment now) {
+        expire(now);
+        List<FormationAction> actions = new ArrayList<>();
+        Map<String, Integer> groups = new HashMap<>();
+        Map<FabricDomain, List<BackendServer>> free = new TreeMap<>();
+        Set<BackendServer> bound = new HashSet<>();
+        for (GroupView g : GroupView.all(view.engines())) {
+            g.head().ifPresent(h -> heads.put(g.key(), h));
+            if (keepGroup(g, view, now, actions)) {
+                g.model().or(() -> plannedModel(g.key())).ifPresent(m -> groups.merge(m, 1, Integer::sum));
+                bound.addAll(g.members().values());
+            }
+        }
+        countUnseen(view, now, groups, bound, actions);
+        for (BackendServer s : view.engines()) {
+            boolean usable = s.ready() && !bound.contains(s) && !view.lost().contains(s.lifetime());
+            if (usable
+                    && s.domain().isPresent()
+                    && view.ownDomains().test(s.domain().get())) {
+                free.computeIfAbsent(s.domain().get(), d -> new ArrayList<>()).add(s);
+            }
+        }
+        form(view, now, free, groups, actions);
+        return actions;
+    }
+
+    /** Returns whether the members of the group stay bound to it; otherwise they are free. */
+    private boolean keepGroup(GroupView g, View view, Moment now, List<FormationAction> actions) {
+        boolean own = g.members().values().stream()
+                .allMatch(s -> s.domain().isPresent()
+                        && view.ownDomains().test(s.domain().get()));
+        Optional<EngineModel> model = g.model().or(() -> plannedModel(g.key())).flatMap(view.profile()::model);
+        Predicate<BackendServer> sound = s -> s.ready() && !view.lost().contains(s.lifetime());
+        if (model.isPresent() && g.whole(model.get().groupSize(), sound)) {
+            if (own) {
+                open(g, now, actions);
+            }
+            return true;
+        }
+        if (!own) {
+            return true;
+        }
+        Forming f = forming.get(g.key());
+        if (f != null && stillForming(f, g, view, now)) {
+            orderJoins(f.plan(), g.key(), view, now, "the join is not yet reported", actions);
+            return true;
+        }
+        return dissolve(g, view, now, actions);
+    }
+
+    private Optional<String> plannedModel(GroupKey key) {
+        return Optional.ofNullable(forming.get(key)).map(f -> f.plan().model().name());
+    }
+
+    private void open(GroupView g, Moment now, List<FormationAction> actions) {
+        BackendServer head = g.head().orElseThrow();
+        if (g.all(MemberState.READY)) {
+            order(new FormationAction.Open(head, g.key(), "all members are ready"), now, actions);
+        } else if (head.group().orElseThrow().state() == MemberState.OPEN) {
+            forming.remove(g.key());
+        }
+    }
+
+    private static boolean stillForming(Forming f, GroupView g, View view, Moment now) {
+        for (BackendServer m : f.plan().members()) {
+            Optional<BackendServer> seen = view.engines().stream()
+                    .filter(s -> s.lifetime().equals(m.lifetime()))
+                    .findFirst();
+            boolean elsewhere = seen.isPresent()
+                    && seen.get().orderSequence() > m.orderSequence()
+                    && !seen.get().group().map(GroupMembership::key).equals(Optional.of(g.key()));
+            if (seen.isEmpty() || !seen.get().ready() || view.lost().contains(m.lifetime()) || elsewhere) {
+                return false;
+            }
+        }
+        Duration patience = f.plan().readyAfter().multipliedBy(2).plus(JOIN_SLACK);
+        return now.isBefore(f.startedAt().plus(patience));
+    }
+
+    /** Returns whether the members stay bound because the head may still hold work. */
+    private boolean dissolve(GroupView g, View view, Moment now, List<FormationAction> actions) {
+        forming.remove(g.key());
+        if (released.containsKey(g.key())) {
+            return false;
+        }
+        if (g.head().isEmpty()) {
+            return headMayServe(g, view, now, actions);
+        }
+        BackendServer head = g.head().get();
+        MemberState state = head.group().orElseThrow().state();
+        if (state == MemberState.BROKEN) {
+            return false;
+        }
+        boolean memberLost =
+                g.members().values().stream().anyMatch(s -> view.lost().contains(s.lifetime()));
+        boolean memberLeaves = g.members().values().stream().anyMatch(s -> !s.ready());
+        if (state.holdsWork() && memberLeaves && !memberLost && wholeButLeaving(g, view)) {
+            Moment since = closing.computeIfAbsent(g.key(), k -> now);
+            if (now.isBefore(since.plus(CLOSE_PATIENCE))) {
+                if (state == MemberState.OPEN) {
+                    order(new FormationAction.Close(head, g.key(), "a member leaves"), now, actions);
+                }
+                return true;
+            }
+        }
+        order(new FormationAction.Leave(head, g.key(), "the group is not whole"), now, actions);
+        return true;
+    }
+
+    /**
+     * Returns whether a head that the list no longer shows in its group may still serve. A head that started anew or joined
+     * another group does not. One that is gone from the list may be cut off from the store alone, so it is told to leave.
+     */
+    private boolean headMayServe(GroupView g, View view, Moment now, List<FormationAction> actions) {
+        BackendServer head = heads.get(g.key());
+        if (head == null || view.engines().stream().anyMatch(s -> s.id().equals(head.id()))) {
+            return false;
+        }
+        order(new FormationAction.Leave(head, g.key(), "the head is gone from the list"), now, actions);
+        return true;
+    }
+
+    private static boolean wholeButLeaving(GroupView g, View view) {
+        return g.model()
+                .flatMap(view.profile()::model)
+                .map(m -> g.whole(m.groupSize(), s -> true))
+                .orElse(false);
+    }
+
+    /** Counts groups whose members have not reported anything yet, and keeps their engines from being used elsewhere. */
+    private void countUnseen(
+            View view,
+            Moment now,
+            Map<String, Integer> groups,
+            Set<BackendServer> bound,
+            List<FormationAction> actions) {
+        Set<GroupKey> seen = new HashSet<>();
+        view.engines().forEach(s -> s.group().ifPresent(m -> seen.add(m.key())));
+        for (Map.Entry<GroupKey, Forming> e : List.copyOf(forming.entrySet())) {
+            GroupPlanner.Plan plan = e.getValue().plan();
+            GroupView none = new GroupView(e.getKey(), "", new TreeMap<>());
+            if (!seen.contains(e.getKey())) {
+                if (!stillForming(e.getValue(), none, view, now)) {
+                    forming.remove(e.getKey());
+                    continue;
+                }
+                groups.merge(plan.model().name(), 1, Integer::sum);
+                orderJoins(plan, e.getKey(), view, now, "the join is not yet reported", actions);
+            }
+            Set<BackendServer.Lifetime> members = new HashSet<>();
+            plan.members().forEach(m -> members.add(m.lifetime()));
+            view.engines().stream().filter(s -> members.contains(s.lifetime())).forEach(bound::add);
+        }
+    }
+
+    private void form(
+            View view,
+            Moment now,
+            Map<FabricDomain, List<BackendServer>> free,
+            Map<String, Integer> groups,
+            List<FormationAction> actions) {
+        int loads = view.loadsAllowed();
+        for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
+            List<BackendServer> left = new ArrayList<>(e.getValue());
+            left.sort(Comparator.comparing(BackendServer::id));
+            while (true) {
+                Optional<GroupPlanner.Plan> plan = GroupPlanner.next(view.profile(), left, groups, view.demand());
+                if (plan.isEmpty()) {
+                    break;
+                }
+                int needed = loadsOf(plan.get());
+                if (needed > loads) {
+                    break;
+                }
+                loads -= needed;
+                left.removeAll(plan.get().members());
+                groups.merge(plan.get().model().name(), 1, Integer::sum);
+                long epoch = view.epochs().next();
+                GroupKey key = new GroupKey("g" + epoch, epoch);
+                forming.put(key, new Forming(plan.get(), now));
+                orderJoins(plan.get(), key, view, now, "free engines in " + e.getKey(), actions);
+            }
+        }
+    }
+
+    /**
+     * Counts the loads from the weight store that a plan begins.
+     *
+     * @param plan the plan
+     * @return the engines that hold the weights neither in their last group nor on their host
+     */
+    public static int loadsOf(GroupPlanner.Plan plan) {
+        int loads = 0;
+        for (BackendServer s : plan.members()) {
+            loads += GroupPlanner.joinTime(plan.model(), s).equals(plan.model().loadTime()) ? 1 : 0;
+        }
+        return loads;
+    }
+
+    /** Orders the joins of the members that have begun no order since the group was planned. */
+    private void orderJoins(
+            GroupPlanner.Plan plan, GroupKey key, View view, Moment now, String reason, List<FormationAction> actions) {
+        for (BackendServer m : plan.members()) {
+            boolean pending = view.engines().stream()
+                    .anyMatch(s -> s.lifetime().equals(m.lifetime()) && s.orderSequence() == m.orderSequence());
+            if (pending) {
+                order(new FormationAction.Join(m, key, plan.model().name(), plan.members(), reason), now, actions);
+            }
+        }
+    }
+
+    private void order(FormationAction action, Moment now, List<FormationAction> actions) {
+        OrderKey key = new OrderKey(
+                action.server().lifetime(),
+                action.key(),
+                action.getClass(),
+                action.server().orderSequence());
+        Moment before = ordered.get(key);
+        if (before != null && now.isBefore(before.plus(ORDER_PATIENCE))) {
+            return;
+        }
+        ordered.put(key, now);
+        actions.add(action);
+    }
+
+    /**
+     * Notes that the head of a group has left it, so that its members are free.
+     *
+     * @param key the group
+     * @param now the present time
+     */
+    public void headLeft(GroupKey key, Moment now) {
+        released.put(key, now);
+    }
+
+    /**
+     * Gives up a group that could not be formed, because a member refused to join it.
+     *
+     * @param key the group
+     */
+    public void joinRefused(GroupKey key) {
+        forming.remove(key);
+    }
+
+    private void expire(Moment now) {
+        Moment old = now.minus(Duration.ofMinutes(1));
+        released.values().removeIf(m -> m.isBefore(old));
+        closing.values().removeIf(m -> m.isBefore(old));
+        heads.keySet().removeIf(released::containsKey);
+        ordered.values().removeIf(m -> m.isBefore(old));
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/cli/CheckSettingsCommand.java
+++ b/entry/src/main/java/org/baobabspindle/cli/CheckSettingsCommand.java
@@ -11,6 +11,11 @@
     @Option(name = "--settings", required = true, usage = "settings file, JSON with comments")
     private Path settings;
 
+    @Override
+    public String name() {
+        return "check-settings";
+    }
+
     @Override
     public String summary() {
         return "check a settings file";
--- a/entry/src/main/java/org/baobabspindle/cli/ConfigurationCommand.java
+++ b/entry/src/main/java/org/baobabspindle/cli/ConfigurationCommand.java
@@ -29,6 +29,11 @@
     @Option(name = "--patch", usage = "file with a merge patch (RFC 7396)")
     private Path patch;
 
+    @Override
+    public String name() {
+        return "configuration";
+    }
+
     @Override
     public String summary() {
         return "show or patch the configuration; the operators' token is read from " + TOKEN_VARIABLE;
--- a/entry/src/main/java/org/baobabspindle/cli/EntryCommand.java
+++ b/entry/src/main/java/org/baobabspindle/cli/EntryCommand.java
@@ -13,6 +13,11 @@
     @Option(name = "--settings", required = true, usage = "settings file, JSON with comments")
     private Path settings;
 
+    @Override
+    public String name() {
+        return "entry";
+    }
+
     @Override
     public String summary() {
         return "run an entry";
--- a/entry/src/main/java/org/baobabspindle/cli/Main.java
+++ b/entry/src/main/java/org/baobabspindle/cli/Main.java
@@ -2,7 +2,9 @@
 
 import java.io.PrintStream;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
+import java.util.ServiceLoader;
 import java.util.TreeMap;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -24,12 +26,7 @@
     }
 
     static int run(String[] args, PrintStream out, PrintStream err) {
-        Map<String, Command> commands = new TreeMap<>(Map.of(
-                "entry", new EntryCommand(),
-                "check-settings", new CheckSettingsCommand(),
-                "configuration", new ConfigurationCommand(),
-                "trace", new TraceCommand(),
-                "replay", new ReplayCommand()));
+        Map<String, Command> commands = commands();
         if (args.length == 0 || args[0].equals("--help")) {
             usage(commands, out);
             return args.length == 0 ? USAGE_STATUS : 0;
@@ -56,6 +53,19 @@
         return command.run(out, err);
     }
 
+    private static Map<String, Command> commands() {
+        Map<String, Command> commands = new TreeMap<>();
+        List.of(
+                        new EntryCommand(),
+                        new CheckSettingsCommand(),
+                        new ConfigurationCommand(),
+                        new TraceCommand(),
+                        new ReplayCommand())
+                .forEach(c -> commands.put(c.name(), c));
+        ServiceLoader.load(Command.class).forEach(c -> commands.put(c.name(), c));
+        return commands;
+    }
+
     private static void usage(Map<String, Command> commands, PrintStream out) {
         out.println("usage: baobabspindle COMMAND [OPTIONS]");
         commands.forEach((name, c) -> out.println("  " + name + ": " + c.summary()));
--- a/entry/src/main/java/org/baobabspindle/cli/ReplayCommand.java
+++ b/entry/src/main/java/org/baobabspindle/cli/ReplayCommand.java
@@ -14,6 +14,11 @@
     @Argument(required = true, metaVar = "TRACE", usage = "file written by the trace command")
     private Path trace;
 
+    @Override
+    public String name() {
+        return "replay";
+    }
+
     @Override
     public String summary() {
         return "replay a trace and tell the first verdict that differs";
--- a/entry/src/main/java/org/baobabspindle/cli/TraceCommand.java
+++ b/entry/src/main/java/org/baobabspindle/cli/TraceCommand.java
@@ -15,6 +15,11 @@
     @Option(name = "--log", required = true, usage = "base URL of the log service")
     private String log;
 
+    @Override
+    public String name() {
+        return "trace";
+    }
+
     @Override
     public String summary() {
         return "write the records of a log, from its first one, with their verdicts as a trace";
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/FeedLoop.java
@@ -0,0 +1,101 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.port.Feed;
+import org.baobabspindle.port.FeedPage;
+import org.baobabspindle.port.PlatformStore;
+
+/** Follows a feed of the store by long polls; each read begins where the last one ended. */
+final class FeedLoop {
+    /** The pause after a read that failed; a store that is away for seconds is asked a few times a second. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
+
+    private final PlatformStore store;
+    private final Feed feed;
+    private final Pace pace;
+    private final Sink sink;
+    private final GatewayClock clock;
+    private final ScheduledExecutorService timer;
+    private final EventLog log;
+    private long next = -1;
+    private boolean lost;
+
+    /**
+     * How often a feed is read.
+     *
+     * @param longPoll how long a read waits for a record
+     * @param pause the least time between two reads
+     */
+    record Pace(Duration longPoll, Duration pause) {}
+
+    /** Takes what was read. */
+    interface Sink {
+        /** Takes a page; {@code whole} says that it names all keys there are. */
+        void read(FeedPage page, boolean whole, Moment askedAt);
+
+        /** Hears that the store answers again after it did not. */
+        void returned();
+    }
+
+    FeedLoop(
+            PlatformStore store,
+            Feed feed,
+            Pace pace,
+            Sink sink,
+            GatewayClock clock,
+            ScheduledExecutorService timer,
+            EventLog log) {
+        this.store = store;
+        this.feed = feed;
+        this.pace = pace;
+        this.sink = sink;
+        this.clock = clock;
+        this.timer = timer;
+        this.log = log;
+    }
+
+    void start() {
+        Moment askedAt = clock.now();
+        boolean whole = next < 0;
+        CompletableFuture<FeedPage> read = whole ? store.newest(feed) : store.read(feed, next, pace.longPoll());
+        read.whenComplete((page, failure) -> {
+            Duration pause = RETRY_PAUSE;
+            try {
+                pause = failure == null ? took(page, whole, askedAt) : failed(failure);
+            } catch (RuntimeException e) {
+                log.write("feed", "a page could not be taken over: " + e, "feed", feed);
+            } finally {
+                timer.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private Duration took(FeedPage page, boolean whole, Moment askedAt) {
+        if (lost) {
+            lost = false;
+            log.write("store", "reads succeed again", "feed", feed);
+            sink.returned();
+        }
+        if (page.expired()) {
+            next = -1;
+            return Duration.ZERO;
+        }
+        next = page.next();
+        sink.read(page, whole, askedAt);
+        Duration taken = Duration.ofNanos(clock.now().steadyNanos() - askedAt.steadyNanos());
+        return taken.compareTo(pace.pause()) < 0 ? pace.pause().minus(taken) : Duration.ZERO;
+    }
+
+    private Duration failed(Throwable failure) {
+        if (!lost) {
+            lost = true;
+            log.write("store", "a read failed: " + failure.getMessage(), "feed", feed);
+        }
+        return RETRY_PAUSE;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayHandler.java
@@ -0,0 +1,117 @@
+package org.baobabspindle.gateway;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.port.DirectoryFormat;
+import org.baobabspindle.port.GatewaySettings;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+
+/** Tells by the port what a request wants: a backend server, readiness, addresses or metrics. */
+final class GatewayHandler extends Handler.Abstract.NonBlocking {
+    /** The longest body that is read before the configuration is known; later its own limit holds. */
+    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+    /** How long callers keep addresses; less than any bound, so that they soon leave an entry that is gone. */
+    private static final Duration ADDRESS_LIFETIME = Duration.ofSeconds(2);
+
+    private final GatewayContext context;
+    private final GatewaySettings.Listeners ports;
+    private final DirectoryFormat format;
+    private final Addresses addresses;
+    private final BooleanSupplier ready;
+    private final GatewayMetrics metrics;
+
+    /** The addresses of entries that take requests. */
+    interface Addresses {
+        List<String> of(Optional<AvailabilityZone> zone, Moment now);
+    }
+
+    GatewayHandler(
+            GatewayContext context,
+            GatewaySettings.Listeners ports,
+            DirectoryFormat format,
+            Addresses addresses,
+            BooleanSupplier ready,
+            GatewayMetrics metrics) {
+        this.context = context;
+        this.ports = ports;
+        this.format = format;
+        this.addresses = addresses;
+        this.ready = ready;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        int port = Request.getLocalPort(request);
+        String method = request.getMethod();
+        String path = request.getHttpURI().getPath();
+        if (port == ports.callers()) {
+            forward(request, response, callback);
+        } else if (port == ports.readiness() && format.asksReadiness(method, path)) {
+            answer(response, callback, ready.getAsBoolean() ? 200 : 503, "text/plain", new byte[0]);
+        } else if (port == ports.directory() && format.asksAddresses(method, path)) {
+            directory(request, response, callback);
+        } else if (ports.metrics().isPresent() && port == ports.metrics().getAsInt()) {
+            answer(response, callback, 200, GatewayMetrics.CONTENT_TYPE, metrics.scrape());
+        } else {
+            answer(response, callback, 404, "text/plain", new byte[0]);
+        }
+        return true;
+    }
+
+    private void forward(Request request, Response response, Callback callback) {
+        CallerExchange exchange = new CallerExchange(
+                context, request, response, callback, context.clock().now());
+        if (request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) == 0
+                || (!request.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                        && !request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING))) {
+            begin(exchange, new byte[0]);
+            return;
+        }
+        Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES, new Promise.Invocable.NonBlocking<>() {
+            @Override
+            public void succeeded(byte[] body) {
+                begin(exchange, body);
+            }
+
+            @Override
+            public void failed(Throwable failure) {
+                Response.writeError(request, response, callback, failure);
+            }
+        });
+    }
+
+    private void begin(CallerExchange exchange, byte[] body) {
+        context.started(exchange);
+        exchange.begin(body, context.clock().now());
+    }
+
+    private void directory(Request request, Response response, Callback callback) {
+        List<String> list = addresses.of(
+                format.zone(request.getHttpURI().getQuery()), context.clock().now());
+        if (list.isEmpty()) {
+            answer(response, callback, 503, "text/plain", new byte[0]);
+            return;
+        }
+        answer(response, callback, 200, "application/json", format.answer(list, ADDRESS_LIFETIME));
+    }
+
+    private static void answer(Response response, Callback callback, int status, String type, byte[] body) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayMetrics.java
@@ -0,0 +1,48 @@
+package org.baobabspindle.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.DoubleSupplier;
+
+/** The metrics of a gateway in Prometheus' text form. */
+final class GatewayMetrics {
+    static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter outcomes = Counter.builder()
+            .name("baobabspindle_gateway_requests_total")
+            .help("Requests of callers by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+    private final Counter orders = Counter.builder()
+            .name("baobabspindle_gateway_orders_total")
+            .help("Orders to engines by kind and answer.")
+            .labelNames("kind", "answer")
+            .register(registry);
+
+    void finished(String outcome) {
+        outcomes.labelValues(outcome).inc();
+    }
+
+    void ordered(String kind, String answer) {
+        orders.labelValues(kind, answer).inc();
+    }
+
+    void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    byte[] scrape() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -0,0 +1,333 @@
+package org.baobabspindle.gateway;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.baobabspindle.core.dispatch.TargetChooser;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerMessage;
+import org.baobabspindle.peer.PeerSecret;
+import org.baobabspindle.peer.PeerServer;
+import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.Feed;
+import org.baobabspindle.port.FeedPage;
+import org.baobabspindle.port.GatewaySettings;
+import org.baobabspindle.port.Platform;
+import org.baobabspindle.port.PlatformStore;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** An entry on a platform of the users: its tables, its loops, its start and its stop. */
+public final class GatewayNode {
+    /** Threads for callers, backend servers and the store; none of them waits. */
+    private static final int MAX_THREADS = 16;
+
+    /** Workers for messages between entries. */
+    private static final int PEER_WORKERS = 4;
+
+    /** How often time limits and connections of callers are looked at. */
+    private static final Duration TICK = Duration.ofMillis(50);
+
+    /** How often the keeper decides when nothing has changed. */
+    private static final Duration KEEPER_TICK = Duration.ofMillis(100);
+
+    /** How often entries tell each other their loads. */
+    private static final Duration PULSE = Duration.ofMillis(200);
+
+    /** How often the lease is renewed; three calls fit into the shortest lease. */
+    private static final Duration LEASE_RENEWAL = Duration.ofMillis(350);
+
+    /** How long this entry stays after the last request when it stops, so that callers have seen it leave. */
+    private static final Duration QUIET_BEFORE_EXIT = Duration.ofSeconds(1);
+
+    /** Taken off the grace period, so that the process ends before it is killed. */
+    private static final Duration GRACE_MARGIN = Duration.ofMillis(400);
+
+    private static final FeedLoop.Pace CONFIGURATION_PACE =
+            new FeedLoop.Pace(Duration.ofMillis(1_500), Duration.ofMillis(100));
+    private static final FeedLoop.Pace SERVERS_PACE = new FeedLoop.Pace(Duration.ofSeconds(10), Duration.ofMillis(150));
+    private static final FeedLoop.Pace ENTRIES_PACE = new FeedLoop.Pace(Duration.ofSeconds(20), Duration.ofMillis(300));
+
+    private final GatewayClock clock = new GatewayClock();
+    private final EventLog log = new EventLog();
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> daemon(r, "timer"));
+    private final ThreadPoolExecutor peerWorkers =
+            (ThreadPoolExecutor) Executors.newFixedThreadPool(PEER_WORKERS, r -> daemon(r, "peer-worker"));
+    private final GatewaySettings settings;
+    private final QueuedThreadPool threads;
+    private final HttpClient client;
+    private final PlatformStore store;
+    private final FleetTable fleet;
+    private final Stopping stopping;
+    private final EntryAnnouncement self;
+    private final PeerMesh mesh;
+    private final GatewayContext context;
+    private final KeeperLease lease;
+    private final GroupKeeper keeper;
+    private final SilenceGuard silence;
+    private final GatewayServer server;
+    private volatile boolean announced;
+
+    private GatewayNode(Platform platform) throws Exception {
+        settings = platform.settings();
+        threads = new QueuedThreadPool(MAX_THREADS, 4);
+        threads.setName("gateway");
+        threads.setDaemon(true);
+        client = GatewayServer.client(threads);
+        store = platform.store(client);
+        fleet = new FleetTable(platform.decoder(), log);
+        stopping = new Stopping(settings.bounds().gracePeriod());
+        self = announcement();
+        mesh = new PeerMesh(self, peerWorkers, traffic, log);
+        SplittableRandom random =
+                new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
+        Dispatcher dispatcher =
+                new Dispatcher(fleet, new TargetChooser(settings.zone(), random.split()), settings.bounds(), threads);
+        context = new GatewayContext(
+                clock,
+                fleet,
+                dispatcher,
+                client,
+                platform.headers(),
+                stopping,
+                log,
+                metrics,
+                new SynchronizedRandom(random.split()),
+                mesh::entries,
+                settings.bounds());
+        Duration timeToLive = Duration.ofMillis(Math.max(settings.leastLease().toMillis(), 1_300));
+        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
+        keeper = new GroupKeeper(platform.engines(client), settings, lease, clock, log, metrics);
+        silence = new SilenceGuard(context, platform.engines(client), this::tellSuspects, log);
+        server = new GatewayServer(settings, threads);
+        server.start(new GatewayHandler(
+                context, settings.listeners(), platform.directory(), this::addresses, this::ready, metrics));
+    }
+
+    private static Thread daemon(Runnable r, String name) {
+        Thread t = new Thread(r, name);
+        t.setDaemon(true);
+        return t;
+    }
+
+    private EntryAnnouncement announcement() {
+        byte[] secret = new byte[16];
+        new SecureRandom().nextBytes(secret);
+        return new EntryAnnouncement(
+                new Incarnation(settings.instance(), System.currentTimeMillis()),
+                settings.host(),
+                settings.listeners().callers(),
+                settings.listeners().peers(),
+                settings.zone(),
+                HexFormat.of().formatHex(secret));
+    }
+
+    /**
+     * Runs an entry until the process is told to stop.
+     *
+     * @param platform the platform to run on
+     * @throws Exception if the entry cannot start
+     */
+    public static void run(Platform platform) throws Exception {
+        GatewayNode node = new GatewayNode(platform);
+        Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+        node.start();
+        Thread.currentThread().join();
+    }
+
+    private void start() throws IOException {
+        log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
+        PeerServer.start(
+                self.host(), self.peerPort(), new PeerSecret(self.secret()), peerWorkers, this::answerPeer, traffic);
+        feed(Feed.CONFIGURATION, CONFIGURATION_PACE, (page, whole, askedAt) -> {
+            fleet.configurationRead(page.records(), askedAt);
+            changed();
+        });
+        feed(Feed.BACKEND_SERVERS, SERVERS_PACE, (page, whole, askedAt) -> {
+            fleet.serversRead(page.records(), whole, clock.now());
+            changed();
+        });
+        feed(Feed.ENTRIES, ENTRIES_PACE, (page, whole, askedAt) -> mesh.read(page.records()));
+        announce();
+        every(TICK, () -> context.tick(clock.now()));
+        every(TICK, () -> silence.tick(clock.now()));
+        every(KEEPER_TICK, this::keep);
+        every(LEASE_RENEWAL, this::renewLease);
+        every(PULSE, this::pulse);
+    }
+
+    private interface PageSink {
+        void read(FeedPage page, boolean whole, Moment askedAt);
+    }
+
+    private void feed(Feed feed, FeedLoop.Pace pace, PageSink sink) {
+        FeedLoop.Sink loopSink = new FeedLoop.Sink() {
+            @Override
+            public void read(FeedPage page, boolean whole, Moment askedAt) {
+                sink.read(page, whole, askedAt);
+            }
+
+            @Override
+            public void returned() {
+                fleet.storeReturned(clock.now());
+            }
+        };
+        new FeedLoop(store, feed, pace, loopSink, clock, timer, log).start();
+    }
+
+    private void every(Duration pause, Runnable step) {
+        Runnable safe = () -> {
+            try {
+                step.run();
+            } catch (RuntimeException e) {
+                System.getLogger(GatewayNode.class.getName()).log(System.Logger.Level.ERROR, "a step failed", e);
+            }
+        };
+        timer.scheduleWithFixedDelay(safe, pause.toMillis(), pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void announce() {
+        store.announce(self.entry().instance().value(), self.bytes()).whenComplete((done, failure) -> {
+            if (failure == null) {
+                announced = true;
+                log.write("start", "announced to other entries");
+            } else {
+                timer.schedule(this::announce, 300, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private void changed() {
+        context.dispatcher().drain(clock.now());
+        keep();
+    }
+
+    private void keep() {
+        Moment now = clock.now();
+        fleet.expire(now);
+        Optional<FleetConfiguration> configuration = fleet.configuration();
+        if (configuration.isEmpty() || stopping.begun()) {
+            return;
+        }
+        keeper.tick(
+                new GroupKeeper.Inputs(
+                        configuration.get(),
+                        fleet.servers(),
+                        mesh.demand(context.dispatcher().demand(), now),
+                        mesh.aliveEntries(now)),
+                now);
+    }
+
+    private void renewLease() {
+        if (fleet.complete() && !stopping.begun()) {
+            lease.renew();
+        }
+    }
+
+    private PeerMessage.Pulse ownPulse() {
+        Moment now = clock.now();
+        return new PeerMessage.Pulse(
+                ready(),
+                fleet.configuration().map(FleetConfiguration::version).orElse(-1L),
+                fleet.configurationAge(now).map(Duration::toMillis).orElse(-1L),
+                context.dispatcher().ownCounts(),
+                context.dispatcher().demand());
+    }
+
+    private void pulse() {
+        mesh.pulse(ownPulse(), clock, (from, pulse, askedAt, now) -> {
+            context.dispatcher().peerCounts(from.entry().instance(), pulse.loads(), now);
+            learnConfiguration(from, pulse, askedAt);
+        });
+    }
+
+    /** The age in a pulse counts until it was sent, which was not before this entry asked. */
+    private void learnConfiguration(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment askedAt) {
+        long own = fleet.configuration().map(FleetConfiguration::version).orElse(-1L);
+        if (pulse.versionAgeMillis() >= 0 && pulse.version() == own) {
+            fleet.provenByPeer(own, askedAt.minus(Duration.ofMillis(pulse.versionAgeMillis())));
+        } else if (pulse.version() > own) {
+            mesh.askConfiguration(from, (key, text) -> {
+                fleet.configurationFromPeer(key, text);
+                changed();
+            });
+        }
+    }
+
+    private PeerMessage answerPeer(PeerMessage ask) {
+        if (ask instanceof PeerMessage.PulseAsk p) {
+            mesh.asked(p.from(), p.pulse());
+            context.dispatcher().peerCounts(p.from().instance(), p.pulse().loads(), clock.now());
+            return new PeerMessage.PulseAnswer(ownPulse());
+        } else if (ask instanceof PeerMessage.ConfigurationAsk) {
+            return new PeerMessage.ConfigurationAnswer(fleet.configurationKey(), fleet.configurationText());
+        } else if (ask instanceof PeerMessage.EnginesSuspected s) {
+            Set<InstanceId> ids = new HashSet<>(s.engines());
+            keeper.suspected(
+                    fleet.servers().stream().filter(x -> ids.contains(x.id())).toList());
+            return new PeerMessage.Noted();
+        }
+        return new PeerMessage.Failed("not a message between gateways");
+    }
+
+    private void tellSuspects(Collection<BackendServer> suspects) {
+        keeper.suspected(suspects);
+        mesh.tell(
+                new PeerMessage.EnginesSuspected(
+                        suspects.stream().map(BackendServer::id).toList()),
+                clock.now());
+    }
+
+    private boolean ready() {
+        return fleet.complete() && announced && !stopping.begun();
+    }
+
+    private List<String> addresses(Optional<AvailabilityZone> zone, Moment now) {
+        return mesh.addresses(zone, ready(), now);
+    }
+
+    /** Takes part in nothing new, serves what callers still send, and ends before the process is killed. */
+    private void stop() {
+        Moment begun = clock.now();
+        stopping.begin(begun);
+        log.write("stop", "told to stop", "active", context.active().size());
+        lease.release();
+        pulse();
+        Duration most = settings.bounds().gracePeriod().minus(GRACE_MARGIN);
+        Moment lastActive = begun;
+        try {
+            while (clock.now().since(begun).compareTo(most) < 0) {
+                Moment now = clock.now();
+                if (!context.active().isEmpty() || !stopping.refusesNew(now)) {
+                    lastActive = now;
+                }
+                if (now.since(lastActive).compareTo(QUIET_BEFORE_EXIT) > 0) {
+                    break;
+                }
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log.write("stop", "done", "active", context.active().size());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -0,0 +1,210 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
+import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.fleet.FleetService;
+import org.baobabspindle.core.formation.Formation;
+import org.baobabspindle.core.formation.FormationAction;
+import org.baobabspindle.core.formation.GroupPlanner;
+import org.baobabspindle.core.formation.LoadAllowance;
+import org.baobabspindle.core.formation.ModelDemand;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.port.EngineOrder;
+import org.baobabspindle.port.EnginePort;
+import org.baobabspindle.port.GatewaySettings;
+import org.baobabspindle.port.OrderAnswer;
+
+/** Keeps the groups of the fabric domains whose partitions this entry holds. */
+final class GroupKeeper {
+    /** The wait for the answer of an order; a hundred times a calm one, short enough to repeat it soon. */
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
+
+    /** How long an engine that did not answer counts as lost; by then the list shows it gone or it is asked again. */
+    private static final Duration LOST = Duration.ofSeconds(4);
+
+    /** The epochs of one term; a keeper holds a term for hours at most. */
+    private static final long EPOCHS_PER_TERM = 100_000;
+
+    private final EnginePort engines;
+    private final GatewaySettings settings;
+    private final KeeperLease lease;
+    private final GatewayClock clock;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private final Formation formation = new Formation();
+    private final LoadAllowance loads;
+    private final Map<BackendServer.Lifetime, Moment> lost = new HashMap<>();
+    private long epochsDrawn;
+
+    GroupKeeper(
+            EnginePort engines,
+            GatewaySettings settings,
+            KeeperLease lease,
+            GatewayClock clock,
+            EventLog log,
+            GatewayMetrics metrics) {
+        this.engines = engines;
+        this.settings = settings;
+        this.lease = lease;
+        this.clock = clock;
+        this.log = log;
+        this.metrics = metrics;
+        this.loads = new LoadAllowance(settings.bounds().loadWindow());
+    }
+
+    /** What the keeper is told at each tick. */
+    record Inputs(
+            FleetConfiguration configuration,
+            Collection<BackendServer> servers,
+            Map<String, Double> demand,
+            int keepers) {}
+
+    /** Decides and sends orders for all services with engines. */
+    void tick(Inputs inputs, Moment now) {
+        Optional<Long> term = lease.term(now);
+        if (term.isEmpty()) {
+            return;
+        }
+        for (FleetService s : inputs.configuration().services()) {
+            if (s.engine().isPresent()) {
+                decide(s, inputs, term.get(), now).forEach(a -> send(a, inputs.servers()));
+            }
+        }
+    }
+
+    private synchronized List<FormationAction> decide(FleetService service, Inputs in, long term, Moment now) {
+        lost.values().removeIf(until -> !now.isBefore(until));
+        EngineProfile profile = service.engine().orElseThrow();
+        List<BackendServer> own = in.servers().stream()
+                .filter(s -> s.service().equals(service.name()))
+                .toList();
+        boolean calm = in.demand().isEmpty();
+        ModelDemand demand = calm ? ModelDemand.expected(profile, own.size()) : ModelDemand.of(in.demand());
+        int allowed = calm ? own.size() : loads.allowed(profile.loadsPerSecond(), in.keepers(), largest(profile), now);
+        Formation.View view = new Formation.View(
+                profile,
+                own,
+                Set.copyOf(lost.keySet()),
+                d -> lease.holds(partition(d), now),
+                demand,
+                () -> term * EPOCHS_PER_TERM + ++epochsDrawn,
+                allowed);
+        List<FormationAction> actions = formation.decide(view, now);
+        if (!calm) {
+            countLoads(profile, actions, now);
+        }
+        return actions;
+    }
+
+    private void countLoads(EngineProfile profile, List<FormationAction> actions, Moment now) {
+        for (FormationAction a : actions) {
+            if (a instanceof FormationAction.Join j) {
+                EngineModel m = profile.model(j.model()).orElseThrow();
+                loads.begun(Formation.loadsOf(new GroupPlanner.Plan(m, List.of(j.server()), m.loadTime())), now);
+            }
+        }
+    }
+
+    private static int largest(EngineProfile profile) {
+        return profile.models().stream().mapToInt(EngineModel::groupSize).max().orElse(1);
+    }
+
+    private int partition(FabricDomain domain) {
+        return Math.floorMod(domain.value().hashCode(), settings.leasePartitions());
+    }
+
+    private void send(FormationAction action, Collection<BackendServer> servers) {
+        Moment now = clock.now();
+        Optional<FabricDomain> domain = action.server().domain();
+        if (domain.isEmpty() || !lease.holds(partition(domain.get()), now)) {
+            log.write("order", "not sent, the lease has ended", "group", action.key());
+            return;
+        }
+        EngineOrder order = order(action);
+        engines.order(action.server(), order, ORDER_TIMEOUT).thenAccept(a -> answered(action, order, a, servers));
+    }
+
+    private static EngineOrder order(FormationAction action) {
+        if (action instanceof FormationAction.Join j) {
+            return new EngineOrder.Join(
+                    j.key(),
+                    j.model(),
+                    j.members().stream().map(BackendServer::id).toList());
+        } else if (action instanceof FormationAction.Open o) {
+            return new EngineOrder.Open(o.key());
+        } else if (action instanceof FormationAction.Close c) {
+            return new EngineOrder.Close(c.key());
+        }
+        return new EngineOrder.Leave(action.key());
+    }
+
+    private void answered(
+            FormationAction action, EngineOrder order, OrderAnswer answer, Collection<BackendServer> servers) {
+        Moment now = clock.now();
+        String kind = order.getClass().getSimpleName();
+        metrics.ordered(kind, answer.name());
+        log.write(
+                "order",
+                action.reason(),
+                "kind",
+                kind,
+                "group",
+                action.key(),
+                "server",
+                action.server().id(),
+                "sequence",
+                action.server().orderSequence(),
+                "answer",
+                answer);
+        boolean silent = answer == OrderAnswer.UNKNOWN || answer == OrderAnswer.UNREACHABLE;
+        boolean listed = servers.stream()
+                .anyMatch(s -> s.lifetime().equals(action.server().lifetime()));
+        synchronized (this) {
+            if (action instanceof FormationAction.Leave && (!silent || !listed)) {
+                formation.headLeft(action.key(), now);
+            }
+            if (action instanceof FormationAction.Join && !silent && !answer.accepted()) {
+                formation.joinRefused(action.key());
+            }
+            if (answer == OrderAnswer.UNREACHABLE) {
+                lost.put(action.server().lifetime(), now.plus(LOST));
+            }
+        }
+    }
+
+    /** Takes over that engines do not answer another entry, once they do not answer this one either. */
+    void suspected(Collection<BackendServer> suspects) {
+        Set<BackendServer> own = new HashSet<>();
+        Moment now = clock.now();
+        for (BackendServer s : suspects) {
+            if (s.domain().isPresent() && lease.holds(partition(s.domain().get()), now)) {
+                own.add(s);
+            }
+        }
+        for (BackendServer s : own) {
+            engines.probe(s, SilenceGuard.PROBE_TIMEOUT).thenAccept(answers -> {
+                if (!answers) {
+                    lost(s);
+                }
+            });
+        }
+    }
+
+    private synchronized void lost(BackendServer server) {
+        Moment now = clock.now();
+        lost.put(server.lifetime(), now.plus(LOST));
+        log.write("lost", "an engine answers neither requests nor probes", "server", server.id());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -0,0 +1,224 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.Executor;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerClient;
+import org.baobabspindle.peer.PeerMessage;
+import org.baobabspindle.peer.PeerSecret;
+import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.FeedRecord;
+
+/** The other entries: who they are, which of them answer, and what they tell. */
+final class PeerMesh {
+    /** An entry that has not answered for this long is not told to callers; several pulses in a row were lost. */
+    private static final Duration ALIVE = Duration.ofMillis(1_200);
+
+    /** The wait for an answer of another entry; a few times the way between regions. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(800);
+
+    /** The entries of the caller's own zone that make others needless; two, so that one may fail. */
+    private static final int ENOUGH_IN_ZONE = 2;
+
+    /** The addresses that callers use of one answer. */
+    private static final int MOST_ADDRESSES = 64;
+
+    private final EntryAnnouncement self;
+    private final Executor workers;
+    private final PeerTraffic traffic;
+    private final EventLog log;
+    private final Map<InstanceId, Peer> peers = new HashMap<>();
+
+    private static final class Peer {
+        private final EntryAnnouncement entry;
+        private final PeerClient client;
+        private Optional<Moment> heardAt = Optional.empty();
+        private boolean ready;
+        private boolean asking;
+        private Map<String, Integer> demand = Map.of();
+
+        Peer(EntryAnnouncement entry, PeerClient client) {
+            this.entry = entry;
+            this.client = client;
+        }
+    }
+
+    /** Hears the pulse of another entry. */
+    interface PulseSink {
+        void heard(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment askedAt, Moment now);
+    }
+
+    PeerMesh(EntryAnnouncement self, Executor workers, PeerTraffic traffic, EventLog log) {
+        this.self = self;
+        this.workers = workers;
+        this.traffic = traffic;
+        this.log = log;
+    }
+
+    /** Takes over records of the feed of entries. */
+    synchronized void read(List<FeedRecord> records) {
+        for (FeedRecord r : records) {
+            EntryAnnouncement.read(r)
+                    .filter(e -> !e.entry().instance().equals(self.entry().instance()))
+                    .ifPresent(this::put);
+        }
+    }
+
+    private void put(EntryAnnouncement entry) {
+        InstanceId id = entry.entry().instance();
+        Peer old = peers.get(id);
+        if (old != null && old.entry.equals(entry)) {
+            return;
+        }
+        if (old != null) {
+            old.client.close();
+        }
+        log.write("peer", "an entry has announced itself", "entry", entry.entry(), "address", entry.callerAddress());
+        PeerSecret secret = new PeerSecret(entry.secret());
+        peers.put(id, new Peer(entry, new PeerClient(self.entry(), secret, workers, traffic)));
+    }
+
+    /** Asks every entry that has no question open. */
+    void pulse(PeerMessage.Pulse own, GatewayClock clock, PulseSink sink) {
+        for (Peer p : idle()) {
+            Moment askedAt = clock.now();
+            PeerMessage ask = new PeerMessage.PulseAsk(self.entry(), own);
+            p.client.ask(p.entry.peerAddress(), ask, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
+                Moment now = clock.now();
+                synchronized (this) {
+                    p.asking = false;
+                }
+                if (answer instanceof PeerMessage.PulseAnswer a) {
+                    heard(p, a.pulse(), now);
+                    sink.heard(p.entry, a.pulse(), askedAt, now);
+                }
+            });
+        }
+    }
+
+    private synchronized List<Peer> idle() {
+        List<Peer> result = new ArrayList<>();
+        for (Peer p : peers.values()) {
+            if (!p.asking) {
+                p.asking = true;
+                result.add(p);
+            }
+        }
+        return result;
+    }
+
+    private synchronized void heard(Peer p, PeerMessage.Pulse pulse, Moment now) {
+        if (p.heardAt.isEmpty()) {
+            log.write("peer", "an entry answers", "entry", p.entry.entry());
+        }
+        p.heardAt = Optional.of(now);
+        p.ready = pulse.ready();
+        p.demand = pulse.demand();
+    }
+
+    /** Notes a pulse that another entry sent with its question. */
+    synchronized void asked(Incarnation from, PeerMessage.Pulse pulse) {
+        Peer p = peers.get(from.instance());
+        if (p != null && p.entry.entry().equals(from)) {
+            p.ready = pulse.ready();
+            p.demand = pulse.demand();
+        }
+    }
+
+    /** Sends a message to every entry that answers. */
+    void tell(PeerMessage message, Moment now) {
+        for (Peer p : alive(now)) {
+            p.client.ask(p.entry.peerAddress(), message, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
+                if (failure != null) {
+                    log.write("peer", "a message was not answered: " + failure.getMessage(), "entry", p.entry.entry());
+                }
+            });
+        }
+    }
+
+    /** Asks one entry for its configuration. */
+    void askConfiguration(EntryAnnouncement from, ConfigurationSink sink) {
+        PeerClient client;
+        synchronized (this) {
+            Peer p = peers.get(from.entry().instance());
+            if (p == null) {
+                return;
+            }
+            client = p.client;
+        }
+        client.ask(from.peerAddress(), new PeerMessage.ConfigurationAsk(), ANSWER_TIMEOUT)
+                .thenAccept(a -> {
+                    if (a instanceof PeerMessage.ConfigurationAnswer c) {
+                        sink.received(c.key(), c.text());
+                    }
+                });
+    }
+
+    /** Takes a configuration of another entry. */
+    interface ConfigurationSink {
+        void received(String key, String text);
+    }
+
+    private synchronized List<Peer> alive(Moment now) {
+        List<Peer> result = new ArrayList<>();
+        for (Peer p : peers.values()) {
+            if (p.heardAt.filter(h -> now.since(h).compareTo(ALIVE) <= 0).isPresent()) {
+                result.add(p);
+            }
+        }
+        return result;
+    }
+
+    /** Returns how many entries share what all may do together: those known, whether they answer or not. */
+    synchronized int entries() {
+        return peers.size() + 1;
+    }
+
+    /** Returns how many entries answer, this one included. */
+    int aliveEntries(Moment now) {
+        return alive(now).size() + 1;
+    }
+
+    /** Adds up the requests that other entries run or have waiting, by model. */
+    Map<String, Double> demand(Map<String, Integer> own, Moment now) {
+        Map<String, Double> result = new HashMap<>();
+        own.forEach((model, n) -> result.merge(model, (double) n, Double::sum));
+        for (Peer p : alive(now)) {
+            p.demand.forEach((model, n) -> result.merge(model, (double) n, Double::sum));
+        }
+        return result;
+    }
+
+    /** Returns the addresses of entries that take requests, those of the caller's zone alone if there are enough. */
+    List<String> addresses(Optional<AvailabilityZone> zone, boolean selfReady, Moment now) {
+        List<EntryAnnouncement> ready = new ArrayList<>();
+        if (selfReady) {
+            ready.add(self);
+        }
+        for (Peer p : alive(now)) {
+            if (p.ready) {
+                ready.add(p.entry);
+            }
+        }
+        List<EntryAnnouncement> near = ready.stream()
+                .filter(e -> zone.filter(e.zone()::equals).isPresent())
+                .toList();
+        List<EntryAnnouncement> chosen = new ArrayList<>(near.size() >= ENOUGH_IN_ZONE ? near : ready);
+        Collections.shuffle(chosen, new Random(now.steadyNanos()));
+        return chosen.stream()
+                .limit(MOST_ADDRESSES)
+                .map(EntryAnnouncement::callerAddress)
+                .toList();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/RunnerCall.java
@@ -0,0 +1,167 @@
+package org.baobabspindle.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.Set;
+import org.baobabspindle.core.dispatch.Target;
+import org.baobabspindle.port.ForwardingHeaders;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+
+/** One request sent to a backend server, and what came back. Every call of the listener is made on a worker. */
+final class RunnerCall implements Response.Listener {
+    /** Headers that concern one connection only, or that the HTTP client sets itself. */
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+            "accept-encoding");
+
+    private final Listener listener;
+    private final ForwardingHeaders names;
+    private final String requestId;
+    private final Request request;
+    private volatile boolean sent;
+    private boolean foreign;
+
+    /** Hears what comes of a call. */
+    interface Listener {
+        /** The status and headers of the answer have come. */
+        void headers(RunnerCall call, int status, HttpFields headers);
+
+        /** A piece of the body has come. */
+        void content(RunnerCall call, ByteBuffer bytes);
+
+        /** The call is over. */
+        void ended(RunnerCall call, End end, String detail);
+    }
+
+    /** How a call ended. */
+    enum End {
+        /** The whole answer has come. */
+        COMPLETE,
+        /** No byte was sent. */
+        NOT_SENT,
+        /** The call was sent and its answer did not come or not whole. */
+        BROKEN
+    }
+
+    /**
+     * What is sent.
+     *
+     * @param method the HTTP method
+     * @param pathAndQuery the path and query as the caller sent them
+     * @param host the host that the caller asked for
+     * @param headers the headers of the caller
+     * @param body the whole body
+     */
+    record Message(String method, String pathAndQuery, String host, HttpFields headers, ByteBuffer body) {}
+
+    /**
+     * The headers that the gateway sets.
+     *
+     * @param timeLeftMillis the time left, in milliseconds
+     * @param account the client account; empty on a public route
+     * @param priority the urgency, 0 first; negative states none
+     * @param lastEventId the last event that the caller has; empty for a whole answer
+     */
+    record Stamped(long timeLeftMillis, String account, int priority, String lastEventId) {}
+
+    RunnerCall(
+            HttpClient client,
+            Target target,
+            Message message,
+            Stamped stamped,
+            ForwardingHeaders names,
+            Listener listener) {
+        this.listener = listener;
+        this.names = names;
+        this.requestId = message.headers().get(names.requestId());
+        this.request = client.newRequest(target.server().host(), target.server().port())
+                .method(message.method())
+                .path(message.pathAndQuery());
+        request.headers(h -> {
+            Set<String> replaced = names.replaced();
+            for (HttpField f : message.headers()) {
+                String name = f.getName().toLowerCase(Locale.ROOT);
+                if (!HOP_BY_HOP.contains(name) && !replaced.contains(name) && !name.equals("host")) {
+                    h.add(f);
+                }
+            }
+            h.put("Host", message.host());
+            h.put(names.expectInstance(), target.server().id().value());
+            h.put(names.timeLeft(), String.valueOf(stamped.timeLeftMillis()));
+            if (!stamped.account().isEmpty()) {
+                h.put(names.account(), stamped.account());
+            }
+            if (stamped.priority() >= 0) {
+                h.put(names.priority(), String.valueOf(stamped.priority()));
+            }
+            if (!stamped.lastEventId().isEmpty()) {
+                h.put(names.lastEventId(), stamped.lastEventId());
+            }
+        });
+        if (message.body().hasRemaining()) {
+            request.body(
+                    new ByteBufferRequestContent((String) null, message.body().slice()));
+        }
+    }
+
+    void send() {
+        request.onRequestBegin(r -> sent = true);
+        request.send(this);
+    }
+
+    /** Ends the call; the backend server sees its connection close. */
+    void cancel(String reason) {
+        request.abort(new CancelledException(reason));
+    }
+
+    /** Says that a call was ended by this entry. */
+    private static final class CancelledException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        CancelledException(String reason) {
+            super(reason);
+        }
+    }
+
+    @Override
+    public void onHeaders(Response response) {
+        String echoed = response.getHeaders().get(names.requestId());
+        boolean refusal = response.getHeaders().contains(names.notRun()) || response.getStatus() == 421;
+        if (requestId != null && !requestId.equals(echoed) && !(echoed == null && refusal)) {
+            foreign = true;
+            response.abort(new CancelledException("the answer belongs to another request: " + echoed));
+            return;
+        }
+        listener.headers(this, response.getStatus(), response.getHeaders());
+    }
+
+    @Override
+    public void onContent(Response response, ByteBuffer content) {
+        if (!foreign) {
+            listener.content(this, content);
+        }
+    }
+
+    @Override
+    public void onComplete(Result result) {
+        if (result.isSucceeded()) {
+            listener.ended(this, End.COMPLETE, "");
+        } else {
+            listener.ended(this, sent ? End.BROKEN : End.NOT_SENT, String.valueOf(result.getFailure()));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
@@ -0,0 +1,80 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.GroupMembership;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.port.EnginePort;
+
+/** Asks the members of groups that have fallen silent, and takes those groups out of use whose members do not answer. */
+final class SilenceGuard {
+    /** The wait for the answer to a probe; many times the way to an engine, shorter than a lost packet sent thrice. */
+    static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
+
+    /** How long a group with a silent member is left out; its keeper has dissolved it by then. */
+    private static final Duration LEFT_OUT = Duration.ofSeconds(4);
+
+    private final GatewayContext context;
+    private final EnginePort engines;
+    private final Consumer<List<BackendServer>> suspects;
+    private final EventLog log;
+
+    SilenceGuard(GatewayContext context, EnginePort engines, Consumer<List<BackendServer>> suspects, EventLog log) {
+        this.context = context;
+        this.engines = engines;
+        this.suspects = suspects;
+        this.log = log;
+    }
+
+    void tick(Moment now) {
+        for (String target : context.dispatcher().doubts(now)) {
+            ask(target);
+        }
+    }
+
+    private void ask(String target) {
+        List<BackendServer> members = new ArrayList<>();
+        for (BackendServer s : context.fleet().servers()) {
+            if (s.group().map(GroupMembership::key).map(Object::toString).equals(Optional.of(target))) {
+                members.add(s);
+            }
+        }
+        Map<BackendServer, Boolean> answers = new ConcurrentHashMap<>();
+        CompletableFuture<?>[] probes = members.stream()
+                .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> answers.put(m, a)))
+                .toArray(CompletableFuture<?>[]::new);
+        CompletableFuture.allOf(probes).thenRun(() -> judge(target, answers));
+    }
+
+    private void judge(String target, Map<BackendServer, Boolean> answers) {
+        Moment now = context.clock().now();
+        List<BackendServer> silent = new ArrayList<>();
+        answers.forEach((server, answered) -> {
+            if (!answered) {
+                silent.add(server);
+            }
+        });
+        log.write(
+                "doubt",
+                silent.isEmpty() ? "all members answer" : "members do not answer",
+                "target",
+                target,
+                "silent",
+                silent.stream().map(BackendServer::id).toList());
+        if (silent.isEmpty()) {
+            context.dispatcher().sound(target, now);
+            return;
+        }
+        context.dispatcher().leaveOut(target, now.plus(LEFT_OUT));
+        suspects.accept(silent);
+        context.targetLost(target);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/Stopping.java
@@ -0,0 +1,32 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.baobabspindle.core.time.Moment;
+
+/** Whether and since when this entry stops. */
+final class Stopping {
+    /** The part of the grace period after which new requests are refused; the rest is for those that run. */
+    private static final double ACCEPTING_SHARE = 0.75;
+
+    private final Duration gracePeriod;
+    private volatile Optional<Moment> since = Optional.empty();
+
+    Stopping(Duration gracePeriod) {
+        this.gracePeriod = gracePeriod;
+    }
+
+    void begin(Moment now) {
+        since = Optional.of(now);
+    }
+
+    boolean begun() {
+        return since.isPresent();
+    }
+
+    /** Returns whether new requests are refused, because they could not be finished. */
+    boolean refusesNew(Moment now) {
+        Duration accepting = Duration.ofMillis((long) (gracePeriod.toMillis() * ACCEPTING_SHARE));
+        return since.filter(s -> now.since(s).compareTo(accepting) > 0).isPresent();
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -4,11 +4,13 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Map;
 import org.baobabspindle.core.group.Lifecycle;
 import org.baobabspindle.core.id.ClientAccountId;
 import org.baobabspindle.core.id.ConfigurationVersion;
 import org.baobabspindle.core.id.GroupId;
 import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.id.Region;
 
 /** What entries say to each other. */
@@ -24,6 +26,12 @@
     @JsonSubTypes.Type(value = PeerMessage.ForwardAnswer.class, name = "F"),
     @JsonSubTypes.Type(value = PeerMessage.TokensAsk.class, name = "t"),
     @JsonSubTypes.Type(value = PeerMessage.TokensAnswer.class, name = "T"),
+    @JsonSubTypes.Type(value = PeerMessage.PulseAsk.class, name = "l"),
+    @JsonSubTypes.Type(value = PeerMessage.PulseAnswer.class, name = "L"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsk.class, name = "n"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigurationAnswer.class, name = "N"),
+    @JsonSubTypes.Type(value = PeerMessage.EnginesSuspected.class, name = "s"),
+    @JsonSubTypes.Type(value = PeerMessage.Noted.class, name = "S"),
     @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "x")
 })
 public sealed interface PeerMessage {
@@ -130,6 +138,64 @@
      */
     record TokensAnswer(int granted) implements PeerMessage {}
 
+    /**
+     * The state of a gateway.
+     *
+     * @param ready whether it takes requests of callers
+     * @param version the version of its configuration; -1 if it has none
+     * @param versionAgeMillis how long before this message that version was proven to be the newest; negative if never
+     * @param loads its outstanding requests by target
+     * @param demand its requests that run or wait, by model
+     */
+    record Pulse(
+            boolean ready,
+            long version,
+            long versionAgeMillis,
+            Map<String, Integer> loads,
+            Map<String, Integer> demand) {
+        /** Copies the counts. */
+        public Pulse {
+            loads = loads == null ? Map.of() : Map.copyOf(loads);
+            demand = demand == null ? Map.of() : Map.copyOf(demand);
+        }
+    }
+
+    /**
+     * Tells the state of a gateway and asks for that of another.
+     *
+     * @param from the gateway that asks
+     * @param pulse its state
+     */
+    record PulseAsk(Incarnation from, Pulse pulse) implements PeerMessage {}
+
+    /**
+     * Tells the state of a gateway.
+     *
+     * @param pulse its state
+     */
+    record PulseAnswer(Pulse pulse) implements PeerMessage {}
+
+    /** Asks for the configuration as it was read from the store. */
+    record ConfigurationAsk() implements PeerMessage {}
+
+    /**
+     * The configuration as it was read from the store.
+     *
+     * @param key the key of the record
+     * @param text the content of the record
+     */
+    record ConfigurationAnswer(String key, String text) implements PeerMessage {}
+
+    /**
+     * Tells that engines do not answer this gateway.
+     *
+     * @param engines the ids of the engines
+     */
+    record EnginesSuspected(List<InstanceId> engines) implements PeerMessage {}
+
+    /** Says that a message has been taken over. */
+    record Noted() implements PeerMessage {}
+
     /**
      * Tells that a question could not be answered.
      *
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/port/Platform.java
@@ -0,0 +1,50 @@
+package org.baobabspindle.port;
+
+import org.eclipse.jetty.client.HttpClient;
+
+/** A platform to run on. */
+public interface Platform {
+    /**
+     * Returns the settings of this process.
+     *
+     * @return the settings
+     */
+    GatewaySettings settings();
+
+    /**
+     * Connects to the store.
+     *
+     * @param client a started client
+     * @return the store
+     */
+    PlatformStore store(HttpClient client);
+
+    /**
+     * Returns the way to order engines.
+     *
+     * @param client a started client
+     * @return the port
+     */
+    EnginePort engines(HttpClient client);
+
+    /**
+     * Returns the reader of the platform's records.
+     *
+     * @return the decoder
+     */
+    FleetDecoder decoder();
+
+    /**
+     * Returns the names of headers.
+     *
+     * @return the names
+     */
+    ForwardingHeaders headers();
+
+    /**
+     * Returns the form of questions for addresses and readiness.
+     *
+     * @return the form
+     */
+    DirectoryFormat directory();
+}
--- a/entry/src/main/java/org/baobabspindle/settings/SettingsException.java
+++ b/entry/src/main/java/org/baobabspindle/settings/SettingsException.java
@@ -4,7 +4,13 @@
 public final class SettingsException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    SettingsException(String message, Throwable cause) {
+    /**
+     * Creates an exception.
+     *
+     * @param message the field and what is wrong with it
+     * @param cause what noticed it
+     */
+    public SettingsException(String message, Throwable cause) {
         super(message, cause);
     }
 }
