Groups form and serve: orders expect the engines' own count, resumed streams judge their own headers, engines are awaited at the start

Cause: the count in the list of runners is that of their records, not of their orders, so each order was refused (409).

--- a/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
@@ -17,7 +17,6 @@
  * @param state whether it takes new work
  * @param slots the requests it runs at the same time
  * @param bornMillis when it started, in Unix milliseconds; a restart under the same id has a later one
- * @param orderSequence the orders it has begun since its start
  * @param domain its fabric domain; empty for plain services
  * @param model the model whose weights it holds in its group
  * @param staged the model whose weights its host holds
@@ -32,7 +31,6 @@
         ServerState state,
         int slots,
         long bornMillis,
-        long orderSequence,
         Optional<FabricDomain> domain,
         Optional<String> model,
         Optional<String> staged,
--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -25,9 +25,7 @@
  * The keeper's decisions on the groups of its fabric domains: opens groups whose members are all ready, dissolves those
  * that have lost one, and forms new ones from engines that are free.
  *
- * <p>An engine is free only once the head of its former group is known to have left it, to be broken or to be gone. Every
- * order names the orders that the engine had begun when it was last seen, so that an order that is carried out late has no
- * effect after a newer one.
+ * <p>An engine is free only once the head of its former group is known to have left it, to be broken or to be gone.
  */
 public final class Formation {
     /** How long an order is awaited before it is sent again; several times a calm answer with the report after it. */
@@ -39,18 +37,26 @@
     /** The time that a join may take beyond the one planned before the group is given up; loads share the store. */
     private static final Duration JOIN_SLACK = Duration.ofSeconds(3);
 
+    /** Before the first request, groups wait this long for further engines, which start at about the same time. */
+    private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
+
+    /** Engines load ten times as fast before the first request. */
+    private static final double EARLY_LOAD_FACTOR = 0.1;
+
     private final Map<GroupKey, Forming> forming = new HashMap<>();
     private final Map<GroupKey, BackendServer> heads = new HashMap<>();
     private final Map<GroupKey, Moment> released = new HashMap<>();
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
+    private Set<BackendServer.Lifetime> known = Set.of();
+    private Moment lastArrival;
 
     /** Creates decisions that know of no group. */
     public Formation() {}
 
     private record Forming(GroupPlanner.Plan plan, Moment startedAt) {}
 
-    private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind, long sequence) {}
+    private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {}
 
     /**
      * What a keeper knows when it decides.
@@ -62,6 +68,7 @@
      * @param demand the demand for each model
      * @param epochs the source of epochs of new groups
      * @param loadsAllowed how many engines may begin to load weights now
+     * @param beforeRequests whether no request has been seen yet; loads are faster then and nothing is urgent
      */
     public record View(
             EngineProfile profile,
@@ -70,7 +77,8 @@
             Predicate<FabricDomain> ownDomains,
             ModelDemand demand,
             EpochSource epochs,
-            int loadsAllowed) {}
+            int loadsAllowed,
+            boolean beforeRequests) {}
 
     /** Gives out epochs, each greater than all before. */
     public interface EpochSource {
@@ -91,6 +99,7 @@
      */
     public List<FormationAction> decide(View view, Moment now) {
         expire(now);
+        arrivals(view, now);
         List<FormationAction> actions = new ArrayList<>();
         Map<String, Integer> groups = new HashMap<>();
         Map<FabricDomain, List<BackendServer>> free = new TreeMap<>();
@@ -157,9 +166,10 @@
             Optional<BackendServer> seen = view.engines().stream()
                     .filter(s -> s.lifetime().equals(m.lifetime()))
                     .findFirst();
-            boolean elsewhere = seen.isPresent()
-                    && seen.get().orderSequence() > m.orderSequence()
-                    && !seen.get().group().map(GroupMembership::key).equals(Optional.of(g.key()));
+            Optional<GroupKey> current = seen.flatMap(BackendServer::group).map(GroupMembership::key);
+            boolean elsewhere = current.isPresent()
+                    && !current.equals(Optional.of(g.key()))
+                    && !current.equals(m.group().map(GroupMembership::key));
             if (seen.isEmpty() || !seen.get().ready() || view.lost().contains(m.lifetime()) || elsewhere) {
                 return false;
             }
@@ -250,12 +260,16 @@
             Map<FabricDomain, List<BackendServer>> free,
             Map<String, Integer> groups,
             List<FormationAction> actions) {
+        if (view.beforeRequests() && now.isBefore(lastArrival.plus(ARRIVAL_PAUSE))) {
+            return;
+        }
         int loads = view.loadsAllowed();
         for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
             List<BackendServer> left = new ArrayList<>(e.getValue());
             left.sort(Comparator.comparing(BackendServer::id));
             while (true) {
-                Optional<GroupPlanner.Plan> plan = GroupPlanner.next(view.profile(), left, groups, view.demand());
+                Optional<GroupPlanner.Plan> plan = GroupPlanner.next(
+                        view.profile(), left, groups, view.demand(), view.beforeRequests() ? EARLY_LOAD_FACTOR : 1);
                 if (plan.isEmpty()) {
                     break;
                 }
@@ -288,12 +302,13 @@
         return loads;
     }
 
-    /** Orders the joins of the members that have begun no order since the group was planned. */
+    /** Orders the joins of the members that do not report the group yet. */
     private void orderJoins(
             GroupPlanner.Plan plan, GroupKey key, View view, Moment now, String reason, List<FormationAction> actions) {
         for (BackendServer m : plan.members()) {
             boolean pending = view.engines().stream()
-                    .anyMatch(s -> s.lifetime().equals(m.lifetime()) && s.orderSequence() == m.orderSequence());
+                    .filter(s -> s.lifetime().equals(m.lifetime()))
+                    .noneMatch(s -> s.group().map(GroupMembership::key).equals(Optional.of(key)));
             if (pending) {
                 order(new FormationAction.Join(m, key, plan.model().name(), plan.members(), reason), now, actions);
             }
@@ -301,11 +316,7 @@
     }
 
     private void order(FormationAction action, Moment now, List<FormationAction> actions) {
-        OrderKey key = new OrderKey(
-                action.server().lifetime(),
-                action.key(),
-                action.getClass(),
-                action.server().orderSequence());
+        OrderKey key = new OrderKey(action.server().lifetime(), action.key(), action.getClass());
         Moment before = ordered.get(key);
         if (before != null && now.isBefore(before.plus(ORDER_PATIENCE))) {
             return;
@@ -333,6 +344,15 @@
         forming.remove(key);
     }
 
+    private void arrivals(View view, Moment now) {
+        Set<BackendServer.Lifetime> present = new HashSet<>();
+        view.engines().forEach(s -> present.add(s.lifetime()));
+        if (!known.containsAll(present)) {
+            lastArrival = now;
+        }
+        known = present;
+    }
+
     private void expire(Moment now) {
         Moment old = now.minus(Duration.ofMinutes(1));
         released.values().removeIf(m -> m.isBefore(old));
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
@@ -44,10 +44,15 @@
      * @param free the free engines of one domain
      * @param groups the groups of each model that serve or are being formed, over all domains
      * @param demand the demand for each model
+     * @param loadFactor the factor on the time of loads; they are faster before the first request
      * @return the group to form; empty if the free engines suffice for none
      */
     public static Optional<Plan> next(
-            EngineProfile profile, List<BackendServer> free, Map<String, Integer> groups, ModelDemand demand) {
+            EngineProfile profile,
+            List<BackendServer> free,
+            Map<String, Integer> groups,
+            ModelDemand demand,
+            double loadFactor) {
         Plan best = null;
         double bestScore = 0;
         for (EngineModel m : profile.models()) {
@@ -55,7 +60,7 @@
                 continue;
             }
             Plan plan = plan(m, free);
-            double score = need(profile, m, groups, demand) * haste(plan.readyAfter());
+            double score = need(profile, m, groups, demand) * haste(plan.readyAfter(), loadFactor);
             if (score > bestScore) {
                 best = plan;
                 bestScore = score;
@@ -93,7 +98,7 @@
         return demand.slots(model.name()) / slots;
     }
 
-    private static double haste(Duration readyAfter) {
-        return (double) PATIENCE.toMillis() / PATIENCE.plus(readyAfter).toMillis();
+    private static double haste(Duration readyAfter, double loadFactor) {
+        return PATIENCE.toMillis() / (PATIENCE.toMillis() + readyAfter.toMillis() * loadFactor);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/Engines.java
@@ -0,0 +1,75 @@
+package org.baobabspindle.core.formation;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.fleet.GroupMembership;
+import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.fleet.ServerState;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.InstanceId;
+
+/** Engines and profiles for tests. */
+public final class Engines {
+    public static final EngineModel LARGE =
+            new EngineModel("large", 4, 1.0, 0.5, Duration.ofSeconds(16), Duration.ofMillis(1_600));
+    public static final EngineModel SMALL =
+            new EngineModel("small", 2, 0.6, 0.5, Duration.ofSeconds(12), Duration.ofMillis(1_100));
+    public static final EngineProfile PROFILE =
+            new EngineProfile(12, 7.8, 0.134, 45_900, 5, 5, 7, Duration.ofMillis(300), List.of(LARGE, SMALL));
+
+    private Engines() {}
+
+    public static BackendServer free(String id, String domain) {
+        return new BackendServer(
+                InstanceId.of(id),
+                "pool",
+                "10.0.0.1",
+                8080,
+                AvailabilityZone.of("z1"),
+                ServerState.READY,
+                12,
+                1,
+                Optional.of(FabricDomain.of(domain)),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    public static BackendServer member(BackendServer s, GroupKey key, int rank, EngineModel model, MemberState state) {
+        return new BackendServer(
+                s.id(),
+                s.service(),
+                s.host(),
+                s.port(),
+                s.zone(),
+                s.state(),
+                s.slots(),
+                s.bornMillis(),
+                s.domain(),
+                Optional.of(model.name()),
+                Optional.of(model.name()),
+                Optional.of(new GroupMembership(key, rank, state)));
+    }
+
+    public static BackendServer draining(BackendServer s) {
+        return new BackendServer(
+                s.id(),
+                s.service(),
+                s.host(),
+                s.port(),
+                s.zone(),
+                ServerState.DRAINING,
+                s.slots(),
+                s.bornMillis(),
+                s.domain(),
+                s.model(),
+                s.staged(),
+                s.group());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -0,0 +1,192 @@
+package org.baobabspindle.core.formation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.time.Moment;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FormationTests {
+    private static final Moment START = new Moment(0, 0);
+    private static final GroupKey KEY = new GroupKey("g1", 1);
+
+    private final Formation formation = new Formation();
+    private final Set<BackendServer.Lifetime> lost = new HashSet<>();
+    private long epochs = 100;
+    private boolean beforeRequests;
+
+    private List<FormationAction> decide(Collection<BackendServer> engines, Moment now) {
+        ModelDemand demand = ModelDemand.expected(Engines.PROFILE, engines.size());
+        return formation.decide(
+                new Formation.View(
+                        Engines.PROFILE,
+                        engines,
+                        Set.copyOf(lost),
+                        d -> true,
+                        demand,
+                        () -> ++epochs,
+                        100,
+                        beforeRequests),
+                now);
+    }
+
+    private static Moment at(long millis) {
+        return START.plus(Duration.ofMillis(millis));
+    }
+
+    private static List<BackendServer> domain(int size) {
+        List<BackendServer> engines = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            engines.add(Engines.free("e" + i, "d1"));
+        }
+        return engines;
+    }
+
+    private static List<BackendServer> group(EngineModel model, MemberState head, MemberState others) {
+        List<BackendServer> engines = new ArrayList<>();
+        for (int i = 0; i < model.groupSize(); i++) {
+            engines.add(Engines.member(Engines.free("e" + i, "d1"), KEY, i, model, i == 0 ? head : others));
+        }
+        return engines;
+    }
+
+    @Nested
+    class AtTheStart {
+        @Test
+        void aDomainIsDividedAmongBothModels() {
+            Map<String, Set<GroupKey>> groups = new HashMap<>();
+            beforeRequests = true;
+            decide(domain(10), at(-1_000));
+            for (FormationAction a : decide(domain(10), START)) {
+                FormationAction.Join j = (FormationAction.Join) a;
+                groups.computeIfAbsent(j.model(), m -> new HashSet<>()).add(j.key());
+            }
+            assertThat(groups.get("large")).hasSize(1);
+            assertThat(groups.get("small")).hasSize(3);
+        }
+
+        @Test
+        void enginesThatAppearOneAfterTheOtherAreAwaited() {
+            beforeRequests = true;
+            for (int i = 1; i <= 10; i++) {
+                assertThat(decide(domain(i), at(i * 50L))).isEmpty();
+            }
+            Set<String> models = new HashSet<>();
+            decide(domain(10), at(1_100)).forEach(a -> models.add(((FormationAction.Join) a).model()));
+            assertThat(models).containsExactly("large", "small");
+        }
+
+        @Test
+        void joinsAreNotSentTwiceWhileTheFirstMayStillBeReported() {
+            decide(domain(4), START);
+            assertThat(decide(domain(4), at(100))).isEmpty();
+        }
+
+        @Test
+        void aJoinThatIsNotReportedIsSentAgain() {
+            List<FormationAction> first = decide(domain(2), START);
+            List<FormationAction> again = decide(domain(2), at(1_000));
+            assertThat(again.stream().map(FormationAction::key).toList())
+                    .containsExactlyElementsIn(
+                            first.stream().map(FormationAction::key).toList());
+        }
+    }
+
+    @Nested
+    class Opening {
+        @Test
+        void aHeadIsOpenedOnceAllMembersAreReady() {
+            List<FormationAction> actions = decide(group(Engines.SMALL, MemberState.READY, MemberState.READY), START);
+            assertThat(actions).hasSize(1);
+            assertThat(actions.get(0)).isInstanceOf(FormationAction.Open.class);
+        }
+
+        @Test
+        void aHeadIsNotOpenedWhileAMemberJoins() {
+            assertThat(decide(group(Engines.SMALL, MemberState.READY, MemberState.JOINING), START))
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class LosingAMember {
+        @Test
+        void theHeadIsToldToLeaveBeforeItsMembersAreUsedElsewhere() {
+            List<BackendServer> engines = group(Engines.LARGE, MemberState.OPEN, MemberState.READY);
+            lost.add(engines.get(3).lifetime());
+            List<FormationAction> actions = decide(engines, START);
+            assertThat(actions).hasSize(1);
+            assertThat(actions.get(0)).isInstanceOf(FormationAction.Leave.class);
+            assertThat(actions.get(0).server()).isEqualTo(engines.get(0));
+        }
+
+        @Test
+        void survivorsFormGroupsOnceTheHeadHasLeft() {
+            List<BackendServer> engines = group(Engines.LARGE, MemberState.OPEN, MemberState.READY);
+            lost.add(engines.get(3).lifetime());
+            decide(engines, START);
+            formation.headLeft(KEY, at(10));
+            List<FormationAction> actions = decide(engines, at(20));
+            assertThat(actions).isNotEmpty();
+            actions.forEach(a -> {
+                assertThat(a).isInstanceOf(FormationAction.Join.class);
+                assertThat(a.server()).isNotEqualTo(engines.get(3));
+            });
+        }
+
+        @Test
+        void membersOfALostHeadWaitUntilTheListShowsItGone() {
+            List<BackendServer> engines = group(Engines.LARGE, MemberState.OPEN, MemberState.READY);
+            lost.add(engines.get(0).lifetime());
+            decide(engines, START);
+            assertThat(decide(engines, at(3_000)).stream().filter(a -> a instanceof FormationAction.Join))
+                    .isEmpty();
+        }
+
+        @Test
+        void aHeadThatIsGoneFromTheListIsToldToLeaveFirst() {
+            List<BackendServer> engines = group(Engines.SMALL, MemberState.OPEN, MemberState.READY);
+            decide(engines, START);
+            List<FormationAction> actions = decide(engines.subList(1, 2), at(5_000));
+            assertThat(actions).hasSize(1);
+            assertThat(actions.get(0)).isInstanceOf(FormationAction.Leave.class);
+            assertThat(actions.get(0).server()).isEqualTo(engines.get(0));
+        }
+
+        @Test
+        void aBrokenHeadFreesItsMembers() {
+            List<BackendServer> engines = group(Engines.SMALL, MemberState.BROKEN, MemberState.READY);
+            List<BackendServer> three = new ArrayList<>(engines);
+            three.add(Engines.free("e9", "d1"));
+            lost.add(engines.get(1).lifetime());
+            List<FormationAction> actions = decide(three, START);
+            assertThat(actions.stream().allMatch(a -> a instanceof FormationAction.Join))
+                    .isTrue();
+            assertThat(actions).hasSize(2);
+        }
+    }
+
+    @Nested
+    class Leaving {
+        @Test
+        void aHeadFinishesItsRequestsWhenAMemberDrains() {
+            List<BackendServer> engines = group(Engines.SMALL, MemberState.OPEN, MemberState.READY);
+            engines.set(1, Engines.draining(engines.get(1)));
+            List<FormationAction> actions = decide(engines, START);
+            assertThat(actions).hasSize(1);
+            assertThat(actions.get(0)).isInstanceOf(FormationAction.Close.class);
+        }
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -61,7 +61,9 @@
     private Optional<Target> target = Optional.empty();
     private EventSplitter splitter = new EventSplitter();
     private int status;
+    private int callStatus;
     private HttpFields answerHeaders = HttpFields.EMPTY;
+    private HttpFields callHeaders = HttpFields.EMPTY;
     private boolean callStarted;
     private boolean committed;
     private boolean over;
@@ -118,7 +120,10 @@
         }
         deadline = receivedAt.plus(timeAllowed(route.get()));
         pool = pool(configuration, route.get());
-        return context.stopping().refusesNew(now) ? Optional.of(Refusal.STOPPING) : Optional.empty();
+        if (context.stopping().refusesNew(now)) {
+            return Optional.of(Refusal.STOPPING);
+        }
+        return context.dispatcher().hasTarget(pool) ? Optional.empty() : Optional.of(Refusal.NO_CAPACITY);
     }
 
     private Optional<Refusal> judgeKey(FleetConfiguration configuration, Moment now) {
@@ -210,6 +215,8 @@
             target = Optional.of(t);
             tried.add(t.key());
             callStarted = false;
+            callStatus = 0;
+            callHeaders = HttpFields.EMPTY;
             splitter = new EventSplitter();
             next = new RunnerCall(context.client(), t, message(), stamped(now), context.names(), this);
             call = Optional.of(next);
@@ -255,8 +262,10 @@
             if (stale(from)) {
                 return;
             }
-            status = newStatus;
+            callStatus = newStatus;
+            callHeaders = headers;
             if (!committed) {
+                status = newStatus;
                 answerHeaders = headers;
             }
             wholeBody.reset();
@@ -274,7 +283,7 @@
             if (stale(from)) {
                 return;
             }
-            if (!streaming() || status != 200) {
+            if (!streaming() || callStatus != 200) {
                 byte[] piece = new byte[bytes.remaining()];
                 bytes.get(piece);
                 wholeBody.writeBytes(piece);
@@ -359,7 +368,7 @@
         if (over) {
             return Dispatcher.Verdict.NEUTRAL;
         }
-        boolean sound = end == RunnerCall.End.COMPLETE && status < 500;
+        boolean sound = end == RunnerCall.End.COMPLETE && callStatus < 500;
         return sound ? Dispatcher.Verdict.SOUND : Dispatcher.Verdict.FAILED;
     }
 
@@ -377,19 +386,20 @@
         if (end == RunnerCall.End.COMPLETE && answerable()) {
             return answer(now);
         }
-        String why = end == RunnerCall.End.COMPLETE ? "status " + status + " without a signature" : detail;
+        String why = end == RunnerCall.End.COMPLETE ? "status " + callStatus + " is not the whole answer" : detail;
         return route.orElseThrow().repeatable()
                 ? again(Refusal.BROKEN, true, why, now)
                 : giveUp(Refusal.BROKEN, why, now);
     }
 
     private boolean refusedByServer() {
-        return answerHeaders.contains(context.names().notRun()) || status == 421;
+        return callHeaders.contains(context.names().notRun()) || callStatus == 421;
     }
 
     private boolean answerable() {
-        boolean whole = !streaming() || status != 200 || !splitter.withinEvent();
-        return whole && answerHeaders.contains(context.names().stamp());
+        boolean stream = streaming() && callStatus == 200;
+        boolean whole = stream ? !splitter.withinEvent() : !committed;
+        return whole && callHeaders.contains(context.names().stamp());
     }
 
     /** Looks for another target if the request may still be sent, else gives up. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
@@ -44,6 +45,7 @@
     private final EventLog log;
     private final GatewayMetrics metrics;
     private final Formation formation = new Formation();
+    private final OrderSequences sequences = new OrderSequences();
     private final LoadAllowance loads;
     private final Map<BackendServer.Lifetime, Moment> lost = new HashMap<>();
     private long epochsDrawn;
@@ -100,7 +102,8 @@
                 d -> lease.holds(partition(d), now),
                 demand,
                 () -> term * EPOCHS_PER_TERM + ++epochsDrawn,
-                allowed);
+                allowed,
+                calm);
         List<FormationAction> actions = formation.decide(view, now);
         if (!calm) {
             countLoads(profile, actions, now);
@@ -133,7 +136,24 @@
             return;
         }
         EngineOrder order = order(action);
-        engines.order(action.server(), order, ORDER_TIMEOUT).thenAccept(a -> answered(action, order, a, servers));
+        BackendServer server = action.server();
+        if (order instanceof EngineOrder.Leave) {
+            engines.order(server, order, OptionalLong.empty(), ORDER_TIMEOUT)
+                    .thenAccept(a -> answered(action, order, a, servers));
+            return;
+        }
+        OptionalLong known = sequences.expected(server);
+        if (known.isPresent()) {
+            engines.order(server, order, known, ORDER_TIMEOUT).thenAccept(a -> answered(action, order, a, servers));
+        } else {
+            learn(server);
+        }
+    }
+
+    /** Asks an engine how many orders it has begun; what was to be ordered is decided again soon. */
+    private void learn(BackendServer server) {
+        engines.probe(server, SilenceGuard.PROBE_TIMEOUT)
+                .thenAccept(r -> r.ifPresent(x -> sequences.reported(server.lifetime(), x.orderSequence())));
     }
 
     private static EngineOrder order(FormationAction action) {
@@ -164,10 +184,12 @@
                 action.key(),
                 "server",
                 action.server().id(),
-                "sequence",
-                action.server().orderSequence(),
                 "answer",
                 answer);
+        sequences.answered(action.server().lifetime(), answer);
+        if (answer == OrderAnswer.CONFLICT) {
+            learn(action.server());
+        }
         boolean silent = answer == OrderAnswer.UNKNOWN || answer == OrderAnswer.UNREACHABLE;
         boolean listed = servers.stream()
                 .anyMatch(s -> s.lifetime().equals(action.server().lifetime()));
@@ -175,7 +197,8 @@
             if (action instanceof FormationAction.Leave && (!silent || !listed)) {
                 formation.headLeft(action.key(), now);
             }
-            if (action instanceof FormationAction.Join && !silent && !answer.accepted()) {
+            if (action instanceof FormationAction.Join
+                    && (answer == OrderAnswer.STALE || answer == OrderAnswer.OTHER_INSTANCE)) {
                 formation.joinRefused(action.key());
             }
             if (answer == OrderAnswer.UNREACHABLE) {
@@ -195,7 +218,7 @@
         }
         for (BackendServer s : own) {
             engines.probe(s, SilenceGuard.PROBE_TIMEOUT).thenAccept(answers -> {
-                if (!answers) {
+                if (answers.isEmpty()) {
                     lost(s);
                 }
             });
--- a/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
@@ -49,7 +49,7 @@
         }
         Map<BackendServer, Boolean> answers = new ConcurrentHashMap<>();
         CompletableFuture<?>[] probes = members.stream()
-                .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> answers.put(m, a)))
+                .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> answers.put(m, a.isPresent())))
                 .toArray(CompletableFuture<?>[]::new);
         CompletableFuture.allOf(probes).thenRun(() -> judge(target, answers));
     }
