--- a/core/src/main/java/org/baobabspindle/core/dispatch/SilenceWatch.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/SilenceWatch.java
@@ -14,10 +14,13 @@
  */
 public final class SilenceWatch {
     /** The silence of running streams that raises a doubt; several times the pause between events in a full batch. */
-    public static final Duration RUNNING_SILENCE = Duration.ofMillis(350);
+    public static final Duration RUNNING_SILENCE = Duration.ofMillis(250);
 
     /** The silence before the first event that raises a doubt; twice the usual time to a first event. */
-    public static final Duration STARTING_SILENCE = Duration.ofMillis(700);
+    public static final Duration STARTING_SILENCE = Duration.ofMillis(500);
+
+    /** The silence that agrees with another entry's finding; longer than the pause between two events. */
+    private static final Duration QUIET = Duration.ofMillis(120);
 
     /** How long a group that proved sound is not doubted again. */
     private static final Duration REPRIEVE = Duration.ofSeconds(1);
@@ -106,6 +109,18 @@
         }
     }
 
+    /**
+     * Tells whether nothing that this entry sees speaks for a target that another entry finds lost.
+     *
+     * @param target the key of the target
+     * @param now the present time
+     * @return whether the target has sent no event for some steps
+     */
+    public boolean quiet(String target, Moment now) {
+        Watched w = watched.get(target);
+        return w == null || !now.isBefore(w.lastSign.plus(QUIET));
+    }
+
     /**
      * Returns the targets to doubt, each once until it proved sound or a reprieve has passed.
      *
--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -40,6 +40,9 @@
     /** Before the first request, groups wait this long for further engines, which start at about the same time. */
     private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
 
+    /** Loads that staging leaves for groups; the members of the largest one. */
+    private static final int LOADS_KEPT_FOR_GROUPS = 4;
+
     /** Engines load ten times as fast before the first request. */
     private static final double EARLY_LOAD_FACTOR = 0.1;
 
@@ -48,6 +51,7 @@
     private final Map<GroupKey, Moment> released = new HashMap<>();
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
+    private final Map<BackendServer.Lifetime, Moment> staging = new HashMap<>();
     private Set<BackendServer.Lifetime> known = Set.of();
     private Moment lastArrival;
 
@@ -120,7 +124,8 @@
                 free.computeIfAbsent(s.domain().get(), d -> new ArrayList<>()).add(s);
             }
         }
-        form(view, now, free, groups, actions);
+        int loads = form(view, now, free, groups, actions);
+        stage(view, now, loads, bound, actions);
         return actions;
     }
 
@@ -254,14 +259,15 @@
         }
     }
 
-    private void form(
+    /** Forms groups from free engines and returns the loads that may still begin. */
+    private int form(
             View view,
             Moment now,
             Map<FabricDomain, List<BackendServer>> free,
             Map<String, Integer> groups,
             List<FormationAction> actions) {
         if (view.beforeRequests() && now.isBefore(lastArrival.plus(ARRIVAL_PAUSE))) {
-            return;
+            return 0;
         }
         int loads = view.loadsAllowed();
         for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
@@ -286,6 +292,53 @@
                 orderJoins(plan.get(), key, view, now, "free engines in " + e.getKey(), actions);
             }
         }
+        return loads;
+    }
+
+    /**
+     * Has engines of serving groups stage a model that they do not hold, so that the engines that a lost member leaves
+     * behind can join a group of either model within seconds.
+     */
+    private void stage(View view, Moment now, int loadsLeft, Set<BackendServer> bound, List<FormationAction> actions) {
+        int left = loadsLeft - (view.beforeRequests() ? 0 : LOADS_KEPT_FOR_GROUPS);
+        for (BackendServer s : bound) {
+            if (left <= 0) {
+                return;
+            }
+            boolean own =
+                    s.domain().isPresent() && view.ownDomains().test(s.domain().get());
+            boolean settled = s.model().isPresent()
+                    && s.group().isPresent()
+                    && s.group().get().state() != MemberState.JOINING;
+            if (!own || !settled || !s.ready() || view.lost().contains(s.lifetime())) {
+                continue;
+            }
+            Optional<EngineModel> model = otherModel(view.profile(), s);
+            if (model.isPresent() && mayStage(s, model.get(), now)) {
+                actions.add(new FormationAction.Stage(
+                        s, s.group().get().key(), model.get().name(), "the host holds no other model"));
+                left--;
+            }
+        }
+    }
+
+    /** Returns a model to stage: any that the engine does not hold, unless its host holds such a one already. */
+    private static Optional<EngineModel> otherModel(EngineProfile profile, BackendServer s) {
+        if (s.staged().isPresent() && !s.staged().equals(s.model())) {
+            return Optional.empty();
+        }
+        return profile.models().stream()
+                .filter(m -> !s.model().equals(Optional.of(m.name())))
+                .findFirst();
+    }
+
+    private boolean mayStage(BackendServer s, EngineModel model, Moment now) {
+        Moment before = staging.get(s.lifetime());
+        if (before != null && now.isBefore(before.plus(model.loadTime().multipliedBy(2)))) {
+            return false;
+        }
+        staging.put(s.lifetime(), now);
+        return true;
     }
 
     /**
@@ -351,6 +404,7 @@
             lastArrival = now;
         }
         known = present;
+        staging.keySet().retainAll(present);
     }
 
     private void expire(Moment now) {
--- a/core/src/main/java/org/baobabspindle/core/formation/FormationAction.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/FormationAction.java
@@ -62,6 +62,16 @@
      */
     record Close(BackendServer server, GroupKey key, String reason) implements FormationAction {}
 
+    /**
+     * Loads the weights of another model onto the host while the group serves on.
+     *
+     * @param server the engine
+     * @param key the group that the engine is in
+     * @param model the model
+     * @param reason why
+     */
+    record Stage(BackendServer server, GroupKey key, String model, String reason) implements FormationAction {}
+
     /**
      * Ends the membership at once.
      *
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -177,6 +177,10 @@
         return silence.doubts(now);
     }
 
+    synchronized boolean quiet(String target, Moment now) {
+        return silence.quiet(target, now);
+    }
+
     synchronized void sound(String target, Moment now) {
         silence.sound(target, now);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -282,18 +282,21 @@
             return new PeerMessage.ConfigurationAnswer(fleet.configurationKey(), fleet.configurationText());
         } else if (ask instanceof PeerMessage.EnginesSuspected s) {
             Set<InstanceId> ids = new HashSet<>(s.engines());
-            keeper.suspected(
-                    fleet.servers().stream().filter(x -> ids.contains(x.id())).toList());
+            List<BackendServer> suspects =
+                    fleet.servers().stream().filter(x -> ids.contains(x.id())).toList();
+            silence.toldOf(suspects, clock.now());
+            keeper.suspected(s.by(), suspects);
             return new PeerMessage.Noted();
         }
         return new PeerMessage.Failed("not a message between gateways");
     }
 
     private void tellSuspects(Collection<BackendServer> suspects) {
-        keeper.suspected(suspects);
+        InstanceId by = self.entry().instance();
+        keeper.suspected(by, suspects);
         mesh.tell(
                 new PeerMessage.EnginesSuspected(
-                        suspects.stream().map(BackendServer::id).toList()),
+                        by, suspects.stream().map(BackendServer::id).toList()),
                 clock.now());
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,7 +18,9 @@
 import org.baobabspindle.core.formation.GroupPlanner;
 import org.baobabspindle.core.formation.LoadAllowance;
 import org.baobabspindle.core.formation.ModelDemand;
+import org.baobabspindle.core.formation.Witnesses;
 import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
@@ -46,6 +47,7 @@
     private final GatewayMetrics metrics;
     private final Formation formation = new Formation();
     private final OrderSequences sequences = new OrderSequences();
+    private final Witnesses witnesses = new Witnesses();
     private final LoadAllowance loads;
     private final Map<BackendServer.Lifetime, Moment> lost = new HashMap<>();
     private long epochsDrawn;
@@ -113,7 +115,9 @@
 
     private void countLoads(EngineProfile profile, List<FormationAction> actions, Moment now) {
         for (FormationAction a : actions) {
-            if (a instanceof FormationAction.Join j) {
+            if (a instanceof FormationAction.Stage) {
+                loads.begun(1, now);
+            } else if (a instanceof FormationAction.Join j) {
                 EngineModel m = profile.model(j.model()).orElseThrow();
                 loads.begun(Formation.loadsOf(new GroupPlanner.Plan(m, List.of(j.server()), m.loadTime())), now);
             }
@@ -166,6 +170,8 @@
             return new EngineOrder.Open(o.key());
         } else if (action instanceof FormationAction.Close c) {
             return new EngineOrder.Close(c.key());
+        } else if (action instanceof FormationAction.Stage s) {
+            return new EngineOrder.Stage(s.model());
         }
         return new EngineOrder.Leave(action.key());
     }
@@ -207,16 +213,17 @@
         }
     }
 
-    /** Takes over that engines do not answer another entry, once they do not answer this one either. */
-    void suspected(Collection<BackendServer> suspects) {
-        Set<BackendServer> own = new HashSet<>();
+    /** Takes over that engines do not answer an entry, once they do not answer a second one or this one either. */
+    void suspected(InstanceId by, Collection<BackendServer> suspects) {
         Moment now = clock.now();
         for (BackendServer s : suspects) {
-            if (s.domain().isPresent() && lease.holds(partition(s.domain().get()), now)) {
-                own.add(s);
+            if (s.domain().isEmpty() || !lease.holds(partition(s.domain().get()), now) || knownLost(s)) {
+                continue;
+            }
+            if (witnesses.suspected(s.lifetime(), by, now)) {
+                lost(s);
+                continue;
             }
-        }
-        for (BackendServer s : own) {
             engines.probe(s, SilenceGuard.PROBE_TIMEOUT).thenAccept(answers -> {
                 if (answers.isEmpty()) {
                     lost(s);
@@ -225,6 +232,10 @@
         }
     }
 
+    private synchronized boolean knownLost(BackendServer server) {
+        return lost.containsKey(server.lifetime());
+    }
+
     private synchronized void lost(BackendServer server) {
         Moment now = clock.now();
         lost.put(server.lifetime(), now.plus(LOST));
--- a/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
@@ -17,7 +17,7 @@
 /** Asks the members of groups that have fallen silent, and takes those groups out of use whose members do not answer. */
 final class SilenceGuard {
     /** The wait for the answer to a probe; many times the way to an engine, shorter than a lost packet sent thrice. */
-    static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
+    static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
 
     /** How long a group with a silent member is left out; its keeper has dissolved it by then. */
     private static final Duration LEFT_OUT = Duration.ofSeconds(4);
@@ -54,6 +54,17 @@
         CompletableFuture.allOf(probes).thenRun(() -> judge(target, answers));
     }
 
+    /** Takes over another entry's finding for groups that are at present silent for this entry, too. */
+    void toldOf(List<BackendServer> silent, Moment now) {
+        for (BackendServer s : silent) {
+            Optional<String> target = s.group().map(GroupMembership::key).map(Object::toString);
+            if (target.isPresent() && context.dispatcher().quiet(target.get(), now)) {
+                context.dispatcher().leaveOut(target.get(), now.plus(LEFT_OUT));
+                context.targetLost(target.get());
+            }
+        }
+    }
+
     private void judge(String target, Map<BackendServer, Boolean> answers) {
         Moment now = context.clock().now();
         List<BackendServer> silent = new ArrayList<>();
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -189,9 +189,10 @@
     /**
      * Tells that engines do not answer this gateway.
      *
+     * @param by the gateway
      * @param engines the ids of the engines
      */
-    record EnginesSuspected(List<InstanceId> engines) implements PeerMessage {}
+    record EnginesSuspected(InstanceId by, List<InstanceId> engines) implements PeerMessage {}
 
     /** Says that a message has been taken over. */
     record Noted() implements PeerMessage {}
--- a/entry/src/main/java/org/baobabspindle/port/EngineOrder.java
+++ b/entry/src/main/java/org/baobabspindle/port/EngineOrder.java
@@ -6,13 +6,6 @@
 
 /** An order to a model engine. */
 public sealed interface EngineOrder {
-    /**
-     * Returns the group that the order is about.
-     *
-     * @return the group
-     */
-    GroupKey group();
-
     /**
      * Joins a group as the member whose rank is its place in the list.
      *
@@ -41,6 +34,13 @@
      */
     record Close(GroupKey group) implements EngineOrder {}
 
+    /**
+     * Loads the weights of a model onto the host, beside all other work.
+     *
+     * @param model the model
+     */
+    record Stage(String model) implements EngineOrder {}
+
     /**
      * Leaves the group at once.
      *
