Peers use Jetty's selectors; a reset is not the end of an answer; heads gone from the list are closed first

Causes: (1) SIGILL in read(): only threads blocked in read() of the C library were hit, those of the peer connections; no thread blocks in it now. Now a silent leave frees members only if no connection could be made.

--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -34,6 +34,9 @@
     /** How long a draining member's head may finish what it has; engines wait that long for it. */
     private static final Duration CLOSE_PATIENCE = Duration.ofSeconds(10);
 
+    /** How long a head that left the list without notice may finish what it has; most requests are over by then. */
+    private static final Duration GONE_PATIENCE = Duration.ofSeconds(3);
+
     /** The time that a join may take beyond the one planned before the group is given up; loads share the store. */
     private static final Duration JOIN_SLACK = Duration.ofSeconds(3);
 
@@ -222,6 +225,11 @@
         if (head == null || view.engines().stream().anyMatch(s -> s.id().equals(head.id()))) {
             return false;
         }
+        Moment since = closing.computeIfAbsent(g.key(), k -> now);
+        if (!view.lost().contains(head.lifetime()) && now.isBefore(since.plus(GONE_PATIENCE))) {
+            order(new FormationAction.Close(head, g.key(), "the head is gone from the list"), now, actions);
+            return true;
+        }
         order(new FormationAction.Leave(head, g.key(), "the head is gone from the list"), now, actions);
         return true;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -1,5 +1,6 @@
 package org.baobabspindle.gateway;
 
+import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
@@ -7,6 +8,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
@@ -48,7 +50,7 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
-        ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http)) {
+        ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(http)) {
             @Override
             protected SocketChannelEndPoint newEndPoint(
                     SocketChannel channel, ManagedSelector selector, SelectionKey key) {
@@ -71,7 +73,12 @@
 
     /** Starts a client for backend servers and the store that decodes nothing and follows nothing. */
     static HttpClient client(QueuedThreadPool threads) throws Exception {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ClientConnector() {
+            @Override
+            protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+                return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+            }
+        };
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -200,7 +200,8 @@
         boolean listed = servers.stream()
                 .anyMatch(s -> s.lifetime().equals(action.server().lifetime()));
         synchronized (this) {
-            if (action instanceof FormationAction.Leave && (!silent || !listed)) {
+            boolean unreachable = answer == OrderAnswer.UNREACHABLE && !listed;
+            if (action instanceof FormationAction.Leave && (!silent || unreachable)) {
                 formation.headLeft(action.key(), now);
             }
             if (action instanceof FormationAction.Join
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -14,6 +14,7 @@
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerAddress;
 import org.baobabspindle.peer.PeerClient;
 import org.baobabspindle.peer.PeerMessage;
 import org.baobabspindle.peer.PeerSecret;
@@ -35,22 +36,19 @@
     private static final int MOST_ADDRESSES = 64;
 
     private final EntryAnnouncement self;
-    private final Executor workers;
-    private final PeerTraffic traffic;
+    private final PeerClient client;
     private final EventLog log;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
 
     private static final class Peer {
         private final EntryAnnouncement entry;
-        private final PeerClient client;
         private Optional<Moment> heardAt = Optional.empty();
         private boolean ready;
         private boolean asking;
         private Map<String, Integer> demand = Map.of();
 
-        Peer(EntryAnnouncement entry, PeerClient client) {
+        Peer(EntryAnnouncement entry) {
             this.entry = entry;
-            this.client = client;
         }
     }
 
@@ -61,8 +59,7 @@
 
     PeerMesh(EntryAnnouncement self, Executor workers, PeerTraffic traffic, EventLog log) {
         this.self = self;
-        this.workers = workers;
-        this.traffic = traffic;
+        this.client = new PeerClient(self.entry(), this::secret, workers, traffic);
         this.log = log;
     }
 
@@ -82,11 +79,20 @@
             return;
         }
         if (old != null) {
-            old.client.close();
+            client.disconnect(old.entry.peerAddress());
         }
         log.write("peer", "an entry has announced itself", "entry", entry.entry(), "address", entry.callerAddress());
-        PeerSecret secret = new PeerSecret(entry.secret());
-        peers.put(id, new Peer(entry, new PeerClient(self.entry(), secret, workers, traffic)));
+        peers.put(id, new Peer(entry));
+    }
+
+    /** Returns the secret of the entry that was last announced at an address. */
+    private synchronized PeerSecret secret(PeerAddress address) {
+        for (Peer p : peers.values()) {
+            if (p.entry.peerAddress().equals(address)) {
+                return new PeerSecret(p.entry.secret());
+            }
+        }
+        throw new IllegalStateException("no entry was announced at " + address);
     }
 
     /** Asks every entry that has no question open. */
@@ -94,7 +100,7 @@
         for (Peer p : idle()) {
             Moment askedAt = clock.now();
             PeerMessage ask = new PeerMessage.PulseAsk(self.entry(), own);
-            p.client.ask(p.entry.peerAddress(), ask, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
+            client.ask(p.entry.peerAddress(), ask, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
                 Moment now = clock.now();
                 synchronized (this) {
                     p.asking = false;
@@ -139,7 +145,7 @@
     /** Sends a message to every entry that answers. */
     void tell(PeerMessage message, Moment now) {
         for (Peer p : alive(now)) {
-            p.client.ask(p.entry.peerAddress(), message, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
+            client.ask(p.entry.peerAddress(), message, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
                 if (failure != null) {
                     log.write("peer", "a message was not answered: " + failure.getMessage(), "entry", p.entry.entry());
                 }
@@ -149,14 +155,6 @@
 
     /** Asks one entry for its configuration. */
     void askConfiguration(EntryAnnouncement from, ConfigurationSink sink) {
-        PeerClient client;
-        synchronized (this) {
-            Peer p = peers.get(from.entry().instance());
-            if (p == null) {
-                return;
-            }
-            client = p.client;
-        }
         client.ask(from.peerAddress(), new PeerMessage.ConfigurationAsk(), ANSWER_TIMEOUT)
                 .thenAccept(a -> {
                     if (a instanceof PeerMessage.ConfigurationAnswer c) {
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/ResetAwareEndPoint.java
@@ -0,0 +1,42 @@
+package org.baobabspindle.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A connection to a backend server that tells a reset from an orderly end. Jetty's own takes both for the end of the input,
+ * so that a reset would complete an answer whose length is not stated.
+ */
+final class ResetAwareEndPoint extends SocketChannelEndPoint {
+    private final SocketChannel channel;
+
+    ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+        super(channel, selector, key, scheduler);
+        this.channel = channel;
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+        if (isInputShutdown()) {
+            return -1;
+        }
+        int position = BufferUtil.flipToFill(buffer);
+        try {
+            int filled = channel.read(buffer);
+            if (filled > 0) {
+                notIdle();
+            } else if (filled < 0) {
+                shutdownInput();
+            }
+            return filled;
+        } finally {
+            BufferUtil.flipToFlush(buffer, position);
+        }
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/peer/FrameCodec.java
+++ b/entry/src/main/java/org/baobabspindle/peer/FrameCodec.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -14,7 +16,7 @@
 final class FrameCodec {
     static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
     static final byte VERSION = 1;
-    private static final int HEADER_BYTES = 5;
+    static final int HEADER_BYTES = 5;
     private static final ObjectMapper MAPPER = new MessagePackMapper();
 
     private FrameCodec() {}
@@ -56,6 +58,29 @@
         }
     }
 
+    /** Returns a frame as it goes over the wire. */
+    static ByteBuffer frame(PeerFrame frame) {
+        byte[] body = encode(frame);
+        return ByteBuffer.allocate(HEADER_BYTES + body.length)
+                .putInt(body.length)
+                .put(VERSION)
+                .put(body)
+                .flip();
+    }
+
+    /** Reads the header of a frame and returns the length of its body. */
+    static int bodyLength(ByteBuffer header, int maxBytes) throws IOException {
+        int length = header.getInt();
+        if (length < 1 || length > maxBytes) {
+            throw new IOException("a frame of " + length + " bytes is not allowed");
+        }
+        byte version = header.get();
+        if (version != VERSION) {
+            throw new IOException("frame version " + version + " is not known");
+        }
+        return length;
+    }
+
     static int write(DataOutputStream out, PeerFrame frame) throws IOException {
         byte[] body = encode(frame);
         out.writeInt(body.length);
@@ -66,14 +91,11 @@
     }
 
     static PeerFrame read(DataInputStream in, int maxBytes) throws IOException {
-        int length = in.readInt();
-        if (length < 1 || length > maxBytes) {
-            throw new IOException("a frame of " + length + " bytes is not allowed");
-        }
-        byte version = in.readByte();
-        if (version != VERSION) {
-            throw new IOException("frame version " + version + " is not known");
+        byte[] header = in.readNBytes(HEADER_BYTES);
+        if (header.length < HEADER_BYTES) {
+            throw new EOFException("the connection ended within a header");
         }
+        int length = bodyLength(ByteBuffer.wrap(header), maxBytes);
         byte[] body = in.readNBytes(length);
         if (body.length < length) {
             throw new IOException("the connection ended within a frame");
