--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -46,11 +46,16 @@
     /** Loads that staging leaves for groups; the members of the largest one. */
     private static final int LOADS_KEPT_FOR_GROUPS = 4;
 
+    /** The engines that may be joining while others stage; the members of one small group. */
+    private static final int MOST_JOINING_BESIDE_STAGING = 2;
+
+    /** How long a host that stages is taken to need the weight store; a load of the larger models. */
+    private static final Duration STAGING_TIME = Duration.ofSeconds(16);
+
     /** Engines load ten times as fast before the first request. */
     private static final double EARLY_LOAD_FACTOR = 0.1;
 
     private final Map<GroupKey, Forming> forming = new HashMap<>();
-    private final Map<GroupKey, BackendServer> heads = new HashMap<>();
     private final Map<GroupKey, Moment> released = new HashMap<>();
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
@@ -112,7 +117,6 @@
         Map<FabricDomain, List<BackendServer>> free = new TreeMap<>();
         Set<BackendServer> bound = new HashSet<>();
         for (GroupView g : GroupView.all(view.engines())) {
-            g.head().ifPresent(h -> heads.put(g.key(), h));
             if (keepGroup(g, view, now, actions)) {
                 g.model().or(() -> plannedModel(g.key())).ifPresent(m -> groups.merge(m, 1, Integer::sum));
                 bound.addAll(g.members().values());
@@ -221,10 +225,14 @@
      * another group does not. One that is gone from the list may be cut off from the store alone, so it is told to leave.
      */
     private boolean headMayServe(GroupView g, View view, Moment now, List<FormationAction> actions) {
-        BackendServer head = heads.get(g.key());
-        if (head == null || view.engines().stream().anyMatch(s -> s.id().equals(head.id()))) {
+        BackendServer member = g.members().firstEntry().getValue();
+        Optional<BackendServer> named = GroupName.head(g.key(), member);
+        if (named.isEmpty()
+                || view.engines().stream()
+                        .anyMatch(s -> s.id().equals(named.get().id()))) {
             return false;
         }
+        BackendServer head = named.get();
         Moment since = closing.computeIfAbsent(g.key(), k -> now);
         if (!view.lost().contains(head.lifetime()) && now.isBefore(since.plus(GONE_PATIENCE))) {
             order(new FormationAction.Close(head, g.key(), "the head is gone from the list"), now, actions);
@@ -295,7 +303,7 @@
                 left.removeAll(plan.get().members());
                 groups.merge(plan.get().model().name(), 1, Integer::sum);
                 long epoch = view.epochs().next();
-                GroupKey key = new GroupKey("g" + epoch, epoch);
+                GroupKey key = GroupName.of(epoch, plan.get().members().get(0));
                 forming.put(key, new Forming(plan.get(), now));
                 orderJoins(plan.get(), key, view, now, "free engines in " + e.getKey(), actions);
             }
@@ -308,7 +316,7 @@
      * behind can join a group of either model within seconds.
      */
     private void stage(View view, Moment now, int loadsLeft, Set<BackendServer> bound, List<FormationAction> actions) {
-        int left = loadsLeft - (view.beforeRequests() ? 0 : LOADS_KEPT_FOR_GROUPS);
+        int left = view.beforeRequests() ? loadsLeft : spareLoads(view, loadsLeft, now);
         for (BackendServer s : bound) {
             if (left <= 0) {
                 return;
@@ -330,6 +338,21 @@
         }
     }
 
+    /** Staging takes bandwidth of the weight store from loads that groups wait for, so it waits until few are under way. */
+    private int spareLoads(View view, int loadsLeft, Moment now) {
+        long joining = view.engines().stream()
+                .filter(s ->
+                        s.group().filter(m -> m.state() == MemberState.JOINING).isPresent())
+                .count();
+        long underWay = staging.values().stream()
+                .filter(since -> now.isBefore(since.plus(STAGING_TIME)))
+                .count();
+        if (joining > MOST_JOINING_BESIDE_STAGING || underWay > 0) {
+            return 0;
+        }
+        return Math.min(1, loadsLeft - LOADS_KEPT_FOR_GROUPS);
+    }
+
     /** Returns a model to stage: any that the engine does not hold, unless its host holds such a one already. */
     private static Optional<EngineModel> otherModel(EngineProfile profile, BackendServer s) {
         if (s.staged().isPresent() && !s.staged().equals(s.model())) {
@@ -396,6 +419,15 @@
         released.put(key, now);
     }
 
+    /**
+     * Allows orders to an engine to be sent again at once, because it is now known what it expects.
+     *
+     * @param server the engine
+     */
+    public void sequenceLearnt(BackendServer.Lifetime server) {
+        ordered.keySet().removeIf(k -> k.server().equals(server));
+    }
+
     /**
      * Gives up a group that could not be formed, because a member refused to join it.
      *
@@ -419,7 +451,6 @@
         Moment old = now.minus(Duration.ofMinutes(1));
         released.values().removeIf(m -> m.isBefore(old));
         closing.values().removeIf(m -> m.isBefore(old));
-        heads.keySet().removeIf(released::containsKey);
         ordered.values().removeIf(m -> m.isBefore(old));
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -63,7 +63,7 @@
     private static final FeedLoop.Pace CONFIGURATION_PACE =
             new FeedLoop.Pace(Duration.ofMillis(1_500), Duration.ofMillis(100));
     private static final FeedLoop.Pace SERVERS_PACE = new FeedLoop.Pace(Duration.ofSeconds(10), Duration.ofMillis(150));
-    private static final FeedLoop.Pace ENTRIES_PACE = new FeedLoop.Pace(Duration.ofSeconds(20), Duration.ofMillis(300));
+    private static final FeedLoop.Pace ENTRIES_PACE = new FeedLoop.Pace(Duration.ofSeconds(15), Duration.ofMillis(300));
 
     private final GatewayClock clock = new GatewayClock();
     private final EventLog log = new EventLog();
@@ -154,6 +154,22 @@
         Thread.currentThread().join();
     }
 
+    /**
+     * Starts an entry, asks it questions and returns; the caller ends the process.
+     *
+     * @param platform the platform; its store need not answer
+     * @param questions the URLs to ask
+     * @throws Exception if the entry cannot start or answers nothing at all
+     */
+    public static void rehearse(Platform platform, List<String> questions) throws Exception {
+        GatewayNode node = new GatewayNode(platform);
+        node.start();
+        for (String url : questions) {
+            int status = node.client.GET(url).getStatus();
+            node.log.write("rehearsal", "a question was answered", "url", url, "status", status);
+        }
+    }
+
     private void start() throws IOException {
         log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
         PeerServer.start(
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -157,7 +157,12 @@
     /** Asks an engine how many orders it has begun; what was to be ordered is decided again soon. */
     private void learn(BackendServer server) {
         engines.probe(server, SilenceGuard.PROBE_TIMEOUT)
-                .thenAccept(r -> r.ifPresent(x -> sequences.reported(server.lifetime(), x.orderSequence())));
+                .thenAccept(r -> r.ifPresent(x -> {
+                    sequences.reported(server.lifetime(), x.orderSequence());
+                    synchronized (this) {
+                        formation.sequenceLearnt(server.lifetime());
+                    }
+                }));
     }
 
     private static EngineOrder order(FormationAction action) {
@@ -192,7 +197,9 @@
                 action.server().id(),
                 "answer",
                 answer);
-        sequences.answered(action.server().lifetime(), answer);
+        boolean doneAtOnce = action instanceof FormationAction.Leave
+                && action.server().group().isPresent();
+        sequences.answered(action.server().lifetime(), answer, doneAtOnce);
         if (answer == OrderAnswer.CONFLICT) {
             learn(action.server());
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/OrderSequences.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/OrderSequences.java
@@ -20,13 +20,20 @@
             return OptionalLong.of(known);
         }
         boolean untouched = server.group().isEmpty() && server.model().isEmpty();
-        return untouched ? OptionalLong.of(0) : OptionalLong.empty();
+        if (!untouched) {
+            return OptionalLong.empty();
+        }
+        begun.put(server.lifetime(), 0L);
+        return OptionalLong.of(0);
     }
 
-    /** Takes over the answer to an order. */
-    synchronized void answered(BackendServer.Lifetime server, OrderAnswer answer) {
-        if (answer == OrderAnswer.STARTED) {
-            begun.merge(server, 1L, Long::sum);
+    /**
+     * Takes over the answer to an order. One that is done at once, such as to leave a group, is answered as one whose effect
+     * holds, and counts all the same.
+     */
+    synchronized void answered(BackendServer.Lifetime server, OrderAnswer answer, boolean doneAtOnce) {
+        if (answer == OrderAnswer.STARTED || (answer == OrderAnswer.HOLDS && doneAtOnce)) {
+            begun.computeIfPresent(server, (s, n) -> n + 1);
         } else if (answer == OrderAnswer.CONFLICT) {
             begun.remove(server);
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
@@ -13,6 +13,7 @@
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EnginePort;
+import org.baobabspindle.port.EngineReport;
 
 /** Asks the members of groups that have fallen silent, and takes those groups out of use whose members do not answer. */
 final class SilenceGuard {
@@ -47,9 +48,9 @@
                 members.add(s);
             }
         }
-        Map<BackendServer, Boolean> answers = new ConcurrentHashMap<>();
+        Map<BackendServer, Optional<EngineReport>> answers = new ConcurrentHashMap<>();
         CompletableFuture<?>[] probes = members.stream()
-                .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> answers.put(m, a.isPresent())))
+                .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> answers.put(m, a)))
                 .toArray(CompletableFuture<?>[]::new);
         CompletableFuture.allOf(probes).thenRun(() -> judge(target, answers));
     }
@@ -65,27 +66,34 @@
         }
     }
 
-    private void judge(String target, Map<BackendServer, Boolean> answers) {
+    private void judge(String target, Map<BackendServer, Optional<EngineReport>> answers) {
         Moment now = context.clock().now();
         List<BackendServer> silent = new ArrayList<>();
-        answers.forEach((server, answered) -> {
-            if (!answered) {
+        List<BackendServer> strayed = new ArrayList<>();
+        answers.forEach((server, report) -> {
+            if (report.isEmpty()) {
                 silent.add(server);
+            } else if (!report.get().group().map(Object::toString).equals(Optional.of(target))) {
+                strayed.add(server);
             }
         });
         log.write(
                 "doubt",
-                silent.isEmpty() ? "all members answer" : "members do not answer",
+                silent.isEmpty() && strayed.isEmpty() ? "all members answer" : "members are missing",
                 "target",
                 target,
                 "silent",
-                silent.stream().map(BackendServer::id).toList());
-        if (silent.isEmpty()) {
+                silent.stream().map(BackendServer::id).toList(),
+                "strayed",
+                strayed.stream().map(BackendServer::id).toList());
+        if (silent.isEmpty() && strayed.isEmpty()) {
             context.dispatcher().sound(target, now);
             return;
         }
         context.dispatcher().leaveOut(target, now.plus(LEFT_OUT));
-        suspects.accept(silent);
+        if (!silent.isEmpty()) {
+            suspects.accept(silent);
+        }
         context.targetLost(target);
     }
 }
