--- a/core/src/test/java/org/baobabspindle/core/formation/Engines.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/Engines.java
@@ -53,7 +53,7 @@
                 s.bornMillis(),
                 s.domain(),
                 Optional.of(model.name()),
-                Optional.of(model.name()),
+                Optional.of(model.equals(LARGE) ? SMALL.name() : LARGE.name()),
                 Optional.of(new GroupMembership(key, rank, state)));
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -31,6 +31,7 @@
 import org.baobabspindle.port.GatewaySettings;
 import org.baobabspindle.port.Platform;
 import org.baobabspindle.port.PlatformStore;
+import org.baobabspindle.settings.SettingsException;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -150,6 +151,7 @@
     public static void run(Platform platform) throws Exception {
         GatewayNode node = new GatewayNode(platform);
         Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+        HangupSignal.handle(() -> node.reload(platform));
         node.start();
         Thread.currentThread().join();
     }
@@ -170,6 +172,16 @@
         }
     }
 
+    /** Reads the settings again; what has changed takes effect at the next start. */
+    private void reload(Platform platform) {
+        try {
+            boolean same = platform.reload().equals(settings);
+            log.write("reload", same ? "the settings are the same" : "changed settings wait for the next start");
+        } catch (SettingsException e) {
+            log.write("reload", "the settings cannot be used and are ignored: " + e.getMessage());
+        }
+    }
+
     private void start() throws IOException {
         log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
         PeerServer.start(
--- a/entry/src/main/java/org/baobabspindle/port/Platform.java
+++ b/entry/src/main/java/org/baobabspindle/port/Platform.java
@@ -1,5 +1,6 @@
 package org.baobabspindle.port;
 
+import org.baobabspindle.settings.SettingsException;
 import org.eclipse.jetty.client.HttpClient;
 
 /** A platform to run on. */
@@ -11,6 +12,14 @@
      */
     GatewaySettings settings();
 
+    /**
+     * Reads the settings of this process again.
+     *
+     * @return the settings
+     * @throws SettingsException if they cannot be used
+     */
+    GatewaySettings reload() throws SettingsException;
+
     /**
      * Connects to the store.
      *
