--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -43,6 +43,9 @@
     /** Before the first request, groups wait this long for further engines, which start at about the same time. */
     private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
 
+    /** How long a group may take to finish its requests when another model needs its engines. */
+    private static final Duration CONVERSION = Duration.ofSeconds(6);
+
     /** Loads that staging leaves for groups; the members of the largest one. */
     private static final int LOADS_KEPT_FOR_GROUPS = 4;
 
@@ -52,14 +55,13 @@
     /** How long a host that stages is taken to need the weight store; a load of the larger models. */
     private static final Duration STAGING_TIME = Duration.ofSeconds(16);
 
-    /** Engines load ten times as fast before the first request. */
-    private static final double EARLY_LOAD_FACTOR = 0.1;
-
     private final Map<GroupKey, Forming> forming = new HashMap<>();
     private final Map<GroupKey, Moment> released = new HashMap<>();
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
     private final Map<BackendServer.Lifetime, Moment> staging = new HashMap<>();
+    private final Map<GroupKey, Moment> converting = new HashMap<>();
+    private final Map<FabricDomain, Rebalancer.Conversion> awaited = new HashMap<>();
     private Set<BackendServer.Lifetime> known = Set.of();
     private Moment lastArrival;
 
@@ -131,7 +133,9 @@
                 free.computeIfAbsent(s.domain().get(), d -> new ArrayList<>()).add(s);
             }
         }
+        convert(view, now, free, groups, actions);
         int loads = form(view, now, free, groups, actions);
+        loads = stageEmpty(view, now, loads, free, groups, actions);
         stage(view, now, loads, bound, actions);
         return actions;
     }
@@ -166,7 +170,9 @@
 
     private void open(GroupView g, Moment now, List<FormationAction> actions) {
         BackendServer head = g.head().orElseThrow();
-        if (g.all(MemberState.READY)) {
+        if (g.all(MemberState.READY) && converting.containsKey(g.key())) {
+            order(new FormationAction.Leave(head, g.key(), "another model needs its engines"), now, actions);
+        } else if (g.all(MemberState.READY)) {
             order(new FormationAction.Open(head, g.key(), "all members are ready"), now, actions);
         } else if (head.group().orElseThrow().state() == MemberState.OPEN) {
             forming.remove(g.key());
@@ -275,6 +281,80 @@
         }
     }
 
+    /**
+     * Closes groups whose engines another model needs. All keepers see the same list and choose the same domain; only its own
+     * keeper acts, and none while a group is closing anywhere.
+     */
+    private void convert(
+            View view,
+            Moment now,
+            Map<FabricDomain, List<BackendServer>> free,
+            Map<String, Integer> groups,
+            List<FormationAction> actions) {
+        boolean changing = view.engines().stream()
+                .flatMap(s -> s.group().stream())
+                .anyMatch(m -> m.state() == MemberState.CLOSING);
+        if (view.beforeRequests() || changing || !converting.isEmpty()) {
+            return;
+        }
+        Optional<Rebalancer.Conversion> chosen =
+                Rebalancer.choose(view.profile(), domains(view, free), groups, view.demand());
+        if (chosen.isEmpty() || !view.ownDomains().test(chosen.get().domain())) {
+            return;
+        }
+        for (GroupKey donor : chosen.get().donors()) {
+            converting.put(donor, now);
+            view.engines().stream()
+                    .filter(s -> s.group()
+                            .filter(m -> m.head() && m.key().equals(donor))
+                            .isPresent())
+                    .forEach(s -> order(
+                            new FormationAction.Close(
+                                    s, donor, chosen.get().model().name() + " is short of groups"),
+                            now,
+                            actions));
+        }
+        awaited.put(chosen.get().domain(), chosen.get());
+    }
+
+    private static List<Rebalancer.DomainView> domains(View view, Map<FabricDomain, List<BackendServer>> free) {
+        Map<FabricDomain, Rebalancer.DomainView> domains = new TreeMap<>();
+        Predicate<BackendServer> sound = s -> s.ready() && !view.lost().contains(s.lifetime());
+        for (GroupView g : GroupView.all(view.engines())) {
+            Optional<EngineModel> model = g.model().flatMap(view.profile()::model);
+            Optional<FabricDomain> domain = g.head().flatMap(BackendServer::domain);
+            if (model.isPresent() && domain.isPresent() && g.whole(model.get().groupSize(), sound)) {
+                domains.computeIfAbsent(
+                                domain.get(),
+                                d -> new Rebalancer.DomainView(d, free.getOrDefault(d, List.of()), new ArrayList<>()))
+                        .serving()
+                        .add(g);
+            }
+        }
+        return List.copyOf(domains.values());
+    }
+
+    /** Returns whether the domain waits for groups that are being dissolved for another model. */
+    private boolean awaitsDonors(FabricDomain domain, Set<GroupKey> present, Moment now) {
+        Rebalancer.Conversion c = awaited.get(domain);
+        if (c == null) {
+            return false;
+        }
+        boolean waits = c.donors().stream()
+                .anyMatch(d -> converting.containsKey(d) && present.contains(d) && !released.containsKey(d));
+        boolean over = !now.isBefore(c.donors().stream()
+                .map(d -> converting.getOrDefault(d, now))
+                .findFirst()
+                .orElse(now)
+                .plus(CONVERSION));
+        if (!waits || over) {
+            awaited.remove(domain);
+            c.donors().forEach(converting::remove);
+            return false;
+        }
+        return true;
+    }
+
     /** Forms groups from free engines and returns the loads that may still begin. */
     private int form(
             View view,
@@ -286,12 +366,17 @@
             return 0;
         }
         int loads = view.loadsAllowed();
+        Set<GroupKey> present = new HashSet<>();
+        view.engines().forEach(s -> s.group().ifPresent(m -> present.add(m.key())));
         for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
+            if (awaitsDonors(e.getKey(), present, now)) {
+                continue;
+            }
             List<BackendServer> left = new ArrayList<>(e.getValue());
             left.sort(Comparator.comparing(BackendServer::id));
             while (true) {
-                Optional<GroupPlanner.Plan> plan = GroupPlanner.next(
-                        view.profile(), left, groups, view.demand(), view.beforeRequests() ? EARLY_LOAD_FACTOR : 1);
+                Optional<GroupPlanner.Plan> plan =
+                        GroupPlanner.next(view.profile(), left, groups, view.demand(), view.beforeRequests());
                 if (plan.isEmpty()) {
                     break;
                 }
@@ -303,7 +388,8 @@
                 left.removeAll(plan.get().members());
                 groups.merge(plan.get().model().name(), 1, Integer::sum);
                 long epoch = view.epochs().next();
-                GroupKey key = GroupName.of(epoch, plan.get().members().get(0));
+                GroupKey key = GroupName.of(
+                        epoch, plan.get().members().get(0), plan.get().model().name());
                 forming.put(key, new Forming(plan.get(), now));
                 orderJoins(plan.get(), key, view, now, "free engines in " + e.getKey(), actions);
             }
@@ -311,6 +397,29 @@
         return loads;
     }
 
+    /** Has free engines that hold no weights stage those of the model that is short. */
+    private int stageEmpty(
+            View view,
+            Moment now,
+            int loads,
+            Map<FabricDomain, List<BackendServer>> free,
+            Map<String, Integer> groups,
+            List<FormationAction> actions) {
+        int left = view.beforeRequests() ? 0 : loads;
+        Optional<EngineModel> model = GroupPlanner.mostNeeded(view.profile(), groups, view.demand());
+        for (List<BackendServer> engines : free.values()) {
+            for (BackendServer s : engines) {
+                boolean empty = s.model().isEmpty() && s.staged().isEmpty();
+                if (left > 0 && empty && model.isPresent() && mayStage(s, model.get(), now)) {
+                    GroupKey none = new GroupKey("none", 0);
+                    actions.add(new FormationAction.Stage(s, none, model.get().name(), "a new engine without weights"));
+                    left--;
+                }
+            }
+        }
+        return view.beforeRequests() ? loads : left;
+    }
+
     /**
      * Has engines of serving groups stage a model that they do not hold, so that the engines that a lost member leaves
      * behind can join a group of either model within seconds.
@@ -451,6 +560,8 @@
         Moment old = now.minus(Duration.ofMinutes(1));
         released.values().removeIf(m -> m.isBefore(old));
         closing.values().removeIf(m -> m.isBefore(old));
+        Moment given = now.minus(CONVERSION);
+        converting.values().removeIf(m -> m.isBefore(given));
         ordered.values().removeIf(m -> m.isBefore(old));
     }
 }
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
@@ -12,7 +12,8 @@
 
 /**
  * Decides what the free engines of one fabric domain become. Answers losses that leave parts of groups behind: the model
- * that is short is formed first, from the engines that are ready soonest.
+ * that is short is formed first, from the engines that are ready soonest. No engine waits in a group for another one that
+ * loads weights from the weight store: an engine without weights stages them first.
  */
 public final class GroupPlanner {
     /** A join by an engine whose last group had the same model; the engines' documented figure. */
@@ -21,6 +22,9 @@
     /** Weighs need against time: a group that comes in this time is worth half of one that comes at once. */
     private static final Duration PATIENCE = Duration.ofSeconds(4);
 
+    /** Engines load ten times as fast before the first request. */
+    private static final double EARLY_LOAD_FACTOR = 0.1;
+
     private GroupPlanner() {}
 
     /**
@@ -44,7 +48,7 @@
      * @param free the free engines of one domain
      * @param groups the groups of each model that serve or are being formed, over all domains
      * @param demand the demand for each model
-     * @param loadFactor the factor on the time of loads; they are faster before the first request
+     * @param loadsFast whether loads are fast, as before the first request; else only engines that need none are used
      * @return the group to form; empty if the free engines suffice for none
      */
     public static Optional<Plan> next(
@@ -52,7 +56,7 @@
             List<BackendServer> free,
             Map<String, Integer> groups,
             ModelDemand demand,
-            double loadFactor) {
+            boolean loadsFast) {
         Plan best = null;
         double bestScore = 0;
         for (EngineModel m : profile.models()) {
@@ -60,7 +64,10 @@
                 continue;
             }
             Plan plan = plan(m, free);
-            double score = need(profile, m, groups, demand) * haste(plan.readyAfter(), loadFactor);
+            if (!loadsFast && plan.readyAfter().equals(m.loadTime())) {
+                continue;
+            }
+            double score = need(profile, m, groups, demand) * haste(plan.readyAfter(), loadsFast);
             if (score > bestScore) {
                 best = plan;
                 bestScore = score;
@@ -77,6 +84,20 @@
         return new Plan(model, members, joinTime(model, members.get(members.size() - 1)));
     }
 
+    /**
+     * Chooses the model that an engine without weights should stage.
+     *
+     * @param profile the engines
+     * @param groups the groups of each model that serve or are being formed, over all domains
+     * @param demand the demand for each model
+     * @return the model that is shortest of slots; empty if there is none
+     */
+    public static Optional<EngineModel> mostNeeded(
+            EngineProfile profile, Map<String, Integer> groups, ModelDemand demand) {
+        return profile.models().stream()
+                .max(Comparator.comparingDouble((EngineModel m) -> need(profile, m, groups, demand)));
+    }
+
     /**
      * Returns the time until an engine is ready in a group of a model.
      *
@@ -98,7 +119,8 @@
         return demand.slots(model.name()) / slots;
     }
 
-    private static double haste(Duration readyAfter, double loadFactor) {
-        return PATIENCE.toMillis() / (PATIENCE.toMillis() + readyAfter.toMillis() * loadFactor);
+    private static double haste(Duration readyAfter, boolean loadsFast) {
+        double factor = loadsFast ? EARLY_LOAD_FACTOR : 1;
+        return PATIENCE.toMillis() / (PATIENCE.toMillis() + readyAfter.toMillis() * factor);
     }
 }
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupView.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupView.java
@@ -50,15 +50,15 @@
     }
 
     /**
-     * Returns the model that the members hold.
+     * Returns the model of the group.
      *
-     * @return the model, if any member states it
+     * @return the model as the name tells it, else as any member states it
      */
     public Optional<String> model() {
-        return members.values().stream()
+        return GroupName.model(key).or(() -> members.values().stream()
                 .map(BackendServer::model)
                 .flatMap(Optional::stream)
-                .findFirst();
+                .findFirst());
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -4,8 +4,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.baobabspindle.core.dispatch.Target;
@@ -15,7 +13,6 @@
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Route;
 import org.baobabspindle.core.time.Moment;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -29,23 +26,9 @@
     /** Targets that may refuse a request or be found unreachable before it is given up. */
     private static final int MAX_REFUSALS = 3;
 
-    /** Headers of an answer that this entry's server sets itself. */
-    private static final Set<String> NOT_COPIED = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-connection",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "content-length",
-            "retry-after",
-            "date",
-            "server");
-
     private final GatewayContext context;
     private final Request request;
     private final Response response;
-    private final Callback callback;
     private final Moment receivedAt;
     private final CallerStream out;
     private final Set<String> tried = new HashSet<>();
@@ -73,12 +56,12 @@
     private long lastEventId = -1;
     private long waitedMillis;
     private Moment waitingSince;
+    private Moment sentAt;
 
     CallerExchange(GatewayContext context, Request request, Response response, Callback callback, Moment now) {
         this.context = context;
         this.request = request;
         this.response = response;
-        this.callback = callback;
         this.receivedAt = now;
         this.waitingSince = now;
         this.deadline = now.plus(Duration.ofMinutes(1));
@@ -90,12 +73,14 @@
         synchronized (this) {
             body = content;
             Optional<Refusal> refusal = judge(now);
+            if (pool != null) {
+                context.dispatcher().requested(pool, now);
+            }
             if (refusal.isPresent()) {
                 refuse(refusal.get(), "", now);
                 return;
             }
         }
-        context.dispatcher().requested(pool.service(), now);
         seek(now);
     }
 
@@ -213,6 +198,7 @@
                 return;
             }
             target = Optional.of(t);
+            sentAt = now;
             tried.add(t.key());
             callStarted = false;
             callStatus = 0;
@@ -326,11 +312,7 @@
     }
 
     private void copyHeaders() {
-        for (HttpField f : answerHeaders) {
-            if (!NOT_COPIED.contains(f.getName().toLowerCase(Locale.ROOT))) {
-                response.getHeaders().add(f);
-            }
-        }
+        AnswerHeaders.copy(answerHeaders, response.getHeaders());
         if (context.stopping().begun()) {
             response.getHeaders().put("Connection", "close");
         }
@@ -353,6 +335,9 @@
             verdict = verdict(end);
             next = over ? Next.NOTHING : next(end, detail, now);
         }
+        if (verdict == Dispatcher.Verdict.SOUND) {
+            context.dispatcher().served(pool, Duration.ofMillis(now.steadyMillisSince(sentAt)));
+        }
         context.dispatcher().ended(pool, t, streaming(), started, verdict, now);
         if (next == Next.SEEK) {
             seek(now);
@@ -581,14 +566,4 @@
                                 .map(Duration::toMillis)
                                 .orElse(-1L));
     }
-
-    /** Returns the callback of the server, for failures before the request began. */
-    Callback callback() {
-        return callback;
-    }
-
-    /** Returns the targets it was sent to. */
-    List<String> tried() {
-        return List.copyOf(tried);
-    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.baobabspindle.gateway;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Function;
 import org.baobabspindle.core.dispatch.LoadBoard;
+import org.baobabspindle.core.dispatch.OfferedLoad;
 import org.baobabspindle.core.dispatch.RetryWindow;
 import org.baobabspindle.core.dispatch.SilenceWatch;
 import org.baobabspindle.core.dispatch.Target;
@@ -30,7 +32,7 @@
     private final SilenceWatch silence = new SilenceWatch();
     private final Map<TargetPool, WaitingLine<Ticket>> lines = new HashMap<>();
     private final Map<String, RetryWindow> retries = new HashMap<>();
-    private final Map<String, Integer> running = new HashMap<>();
+    private final OfferedLoad offered = new OfferedLoad();
 
     private final Executor workers;
 
@@ -116,7 +118,6 @@
             return false;
         }
         loads.sent(target.get().key());
-        running.merge(t.pool().model(), 1, Integer::sum);
         assigned.add(new Assignment(t, target.get()));
         return true;
     }
@@ -156,7 +157,6 @@
     void ended(TargetPool pool, Target target, boolean streaming, boolean started, Verdict verdict, Moment now) {
         synchronized (this) {
             loads.ended(target.key());
-            running.merge(pool.model(), -1, Integer::sum);
             if (streaming) {
                 silence.ended(target.key(), started);
             }
@@ -185,8 +185,16 @@
         silence.sound(target, now);
     }
 
-    synchronized void requested(String service, Moment now) {
-        retryWindow(service).requested(now);
+    synchronized void requested(TargetPool pool, Moment now) {
+        retryWindow(pool.service()).requested(now);
+        if (!pool.model().isEmpty()) {
+            offered.arrived(pool.model(), now);
+        }
+    }
+
+    /** Notes how long a request that was served held its slot. */
+    synchronized void served(TargetPool pool, Duration time) {
+        offered.served(pool.model(), time);
     }
 
     synchronized boolean tryRetry(String service, int entries, Moment now) {
@@ -206,11 +214,8 @@
         return loads.own();
     }
 
-    /** Returns the requests of this entry that run or wait, by model. */
-    synchronized Map<String, Integer> demand() {
-        Map<String, Integer> result = new HashMap<>(running);
-        lines.forEach((pool, line) -> result.merge(pool.model(), line.size(), Integer::sum));
-        result.values().removeIf(n -> n <= 0);
-        return result;
+    /** Returns the slots that the requests to this entry would fill, by model. */
+    synchronized Map<String, Double> demand(Moment now) {
+        return offered.slots(now);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -17,6 +17,7 @@
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.formation.FleetCensus;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
@@ -55,6 +56,9 @@
     /** How often the lease is renewed; three calls fit into the shortest lease. */
     private static final Duration LEASE_RENEWAL = Duration.ofMillis(350);
 
+    /** How often the log tells what the engines do. */
+    private static final Duration CENSUS = Duration.ofSeconds(2);
+
     /** How long this entry stays after the last request when it stops, so that callers have seen it leave. */
     private static final Duration QUIET_BEFORE_EXIT = Duration.ofSeconds(1);
 
@@ -201,6 +205,7 @@
         every(KEEPER_TICK, this::keep);
         every(LEASE_RENEWAL, this::renewLease);
         every(PULSE, this::pulse);
+        every(CENSUS, this::census);
     }
 
     private interface PageSink {
@@ -260,11 +265,38 @@
                 new GroupKeeper.Inputs(
                         configuration.get(),
                         fleet.servers(),
-                        mesh.demand(context.dispatcher().demand(), now),
+                        mesh.demand(context.dispatcher().demand(now), now),
                         mesh.aliveEntries(now)),
                 now);
     }
 
+    /** Logs what the engines do, so that a shortage can be told from the log of any entry. */
+    private void census() {
+        fleet.configuration()
+                .ifPresent(c -> c.services().forEach(s -> s.engine().ifPresent(profile -> {
+                    FleetCensus census = FleetCensus.of(
+                            profile,
+                            fleet.servers().stream()
+                                    .filter(x -> x.service().equals(s.name()))
+                                    .toList());
+                    log.write(
+                            "census",
+                            "periodic",
+                            "service",
+                            s.name(),
+                            "engines",
+                            census.engines(),
+                            "serving",
+                            census.serving(),
+                            "joining",
+                            census.joining(),
+                            "stranded",
+                            census.stranded(),
+                            "demand",
+                            mesh.demand(context.dispatcher().demand(clock.now()), clock.now()));
+                })));
+    }
+
     private void renewLease() {
         if (fleet.complete() && !stopping.begun()) {
             lease.renew();
@@ -278,7 +310,7 @@
                 fleet.configuration().map(FleetConfiguration::version).orElse(-1L),
                 fleet.configurationAge(now).map(Duration::toMillis).orElse(-1L),
                 context.dispatcher().ownCounts(),
-                context.dispatcher().demand());
+                context.dispatcher().demand(now));
     }
 
     private void pulse() {
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -45,7 +45,7 @@
         private Optional<Moment> heardAt = Optional.empty();
         private boolean ready;
         private boolean asking;
-        private Map<String, Integer> demand = Map.of();
+        private Map<String, Double> demand = Map.of();
 
         Peer(EntryAnnouncement entry) {
             this.entry = entry;
@@ -188,12 +188,11 @@
         return alive(now).size() + 1;
     }
 
-    /** Adds up the requests that other entries run or have waiting, by model. */
-    Map<String, Double> demand(Map<String, Integer> own, Moment now) {
-        Map<String, Double> result = new HashMap<>();
-        own.forEach((model, n) -> result.merge(model, (double) n, Double::sum));
+    /** Adds up the slots that the requests to all entries would fill, by model. */
+    Map<String, Double> demand(Map<String, Double> own, Moment now) {
+        Map<String, Double> result = new HashMap<>(own);
         for (Peer p : alive(now)) {
-            p.demand.forEach((model, n) -> result.merge(model, (double) n, Double::sum));
+            p.demand.forEach((model, slots) -> result.merge(model, slots, Double::sum));
         }
         return result;
     }
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -145,14 +145,14 @@
      * @param version the version of its configuration; -1 if it has none
      * @param versionAgeMillis how long before this message that version was proven to be the newest; negative if never
      * @param loads its outstanding requests by target
-     * @param demand its requests that run or wait, by model
+     * @param demand the slots that its requests would fill, by model
      */
     record Pulse(
             boolean ready,
             long version,
             long versionAgeMillis,
             Map<String, Integer> loads,
-            Map<String, Integer> demand) {
+            Map<String, Double> demand) {
         /** Copies the counts. */
         public Pulse {
             loads = loads == null ? Map.of() : Map.copyOf(loads);
