--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -406,7 +406,7 @@
             Map<String, Integer> groups,
             List<FormationAction> actions) {
         int left = view.beforeRequests() ? 0 : loads;
-        Optional<EngineModel> model = GroupPlanner.mostNeeded(view.profile(), groups, view.demand());
+        Optional<EngineModel> model = GroupPlanner.worthStaging(view.profile(), groups, view.demand());
         for (List<BackendServer> engines : free.values()) {
             for (BackendServer s : engines) {
                 boolean empty = s.model().isEmpty() && s.staged().isEmpty();
@@ -447,7 +447,7 @@
         }
     }
 
-    /** Staging takes bandwidth of the weight store from loads that groups wait for, so it waits until few are under way. */
+    /** Staging takes bandwidth of the weight store from engines without weights, so it waits until there are none. */
     private int spareLoads(View view, int loadsLeft, Moment now) {
         long joining = view.engines().stream()
                 .filter(s ->
@@ -456,7 +456,9 @@
         long underWay = staging.values().stream()
                 .filter(since -> now.isBefore(since.plus(STAGING_TIME)))
                 .count();
-        if (joining > MOST_JOINING_BESIDE_STAGING || underWay > 0) {
+        boolean emptyOnes = view.engines().stream()
+                .anyMatch(s -> s.model().isEmpty() && s.staged().isEmpty());
+        if (emptyOnes || joining > MOST_JOINING_BESIDE_STAGING || underWay > 0) {
             return 0;
         }
         return Math.min(1, loadsLeft - LOADS_KEPT_FOR_GROUPS);
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
@@ -90,12 +90,13 @@
      * @param profile the engines
      * @param groups the groups of each model that serve or are being formed, over all domains
      * @param demand the demand for each model
-     * @return the model that is shortest of slots; empty if there is none
+     * @return the model whose slots are needed most for the time that the weight store spends on them; empty if there is none
      */
-    public static Optional<EngineModel> mostNeeded(
+    public static Optional<EngineModel> worthStaging(
             EngineProfile profile, Map<String, Integer> groups, ModelDemand demand) {
         return profile.models().stream()
-                .max(Comparator.comparingDouble((EngineModel m) -> need(profile, m, groups, demand)));
+                .max(Comparator.comparingDouble((EngineModel m) -> need(profile, m, groups, demand)
+                        / (m.groupSize() * m.loadTime().toMillis())));
     }
 
     /**
