--- a/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
@@ -18,7 +18,7 @@
  * @param slots the requests it runs at the same time
  * @param bornMillis when it started, in Unix milliseconds; a restart under the same id has a later one
  * @param domain its fabric domain; empty for plain services
- * @param model the model whose weights it holds in its group
+ * @param model the model of its last group since its start
  * @param staged the model whose weights its host holds
  * @param group its place in a group
  */
@@ -51,6 +51,16 @@
         return state == ServerState.READY;
     }
 
+    /**
+     * Returns this backend server with another last model.
+     *
+     * @param other the model
+     * @return the backend server
+     */
+    public BackendServer withModel(Optional<String> other) {
+        return new BackendServer(id, service, host, port, zone, state, slots, bornMillis, domain, other, staged, group);
+    }
+
     /**
      * Returns the lifetime, which ends with a restart also where the id stays.
      *
--- a/core/src/main/java/org/baobabspindle/core/fleet/ServerTable.java
+++ b/core/src/main/java/org/baobabspindle/core/fleet/ServerTable.java
@@ -36,12 +36,16 @@
     }
 
     /**
-     * Takes over a record.
+     * Takes over a record. An engine that is in no group no longer reports a model, but still joins a group of its last
+     * one sooner, so the model is kept for as long as the engine lives.
      *
      * @param server the backend server
      */
     public void put(BackendServer server) {
-        servers.put(server.id(), server);
+        BackendServer before = servers.get(server.id());
+        boolean forgets =
+                server.model().isEmpty() && before != null && before.lifetime().equals(server.lifetime());
+        servers.put(server.id(), forgets ? server.withModel(before.model()) : server);
         leaving.remove(server.id());
     }
 
--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -52,6 +52,9 @@
     /** The engines that may be joining while others stage; the members of one small group. */
     private static final int MOST_JOINING_BESIDE_STAGING = 2;
 
+    /** Loads share the weight store; one that takes this many times its usual time has failed. */
+    private static final int STAGING_PATIENCE = 3;
+
     /** How long a host that stages is taken to need the weight store; a load of the larger models. */
     private static final Duration STAGING_TIME = Duration.ofSeconds(16);
 
@@ -59,7 +62,7 @@
     private final Map<GroupKey, Moment> released = new HashMap<>();
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
-    private final Map<BackendServer.Lifetime, Moment> staging = new HashMap<>();
+    private final Map<BackendServer.Lifetime, Staging> staging = new HashMap<>();
     private final Map<GroupKey, Moment> converting = new HashMap<>();
     private final Map<FabricDomain, Rebalancer.Conversion> awaited = new HashMap<>();
     private Set<BackendServer.Lifetime> known = Set.of();
@@ -68,6 +71,8 @@
     /** Creates decisions that know of no group. */
     public Formation() {}
 
+    private record Staging(String model, Moment since) {}
+
     private record Forming(GroupPlanner.Plan plan, Moment startedAt) {}
 
     private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {}
@@ -135,7 +140,7 @@
         }
         convert(view, now, free, groups, actions);
         int loads = form(view, now, free, groups, actions);
-        loads = stageEmpty(view, now, loads, free, groups, actions);
+        loads = stageFree(view, now, loads, free, groups, actions);
         stage(view, now, loads, bound, actions);
         return actions;
     }
@@ -393,31 +398,48 @@
                 forming.put(key, new Forming(plan.get(), now));
                 orderJoins(plan.get(), key, view, now, "free engines in " + e.getKey(), actions);
             }
+            e.setValue(left);
         }
         return loads;
     }
 
-    /** Has free engines that hold no weights stage those of the model that is short. */
-    private int stageEmpty(
+    /** Has free engines stage what their domain lacks for a group. */
+    private int stageFree(
             View view,
             Moment now,
             int loads,
             Map<FabricDomain, List<BackendServer>> free,
             Map<String, Integer> groups,
             List<FormationAction> actions) {
-        int left = view.beforeRequests() ? 0 : loads;
-        Optional<EngineModel> model = GroupPlanner.worthStaging(view.profile(), groups, view.demand());
+        if (view.beforeRequests()) {
+            return loads;
+        }
+        int left = loads;
         for (List<BackendServer> engines : free.values()) {
-            for (BackendServer s : engines) {
-                boolean empty = s.model().isEmpty() && s.staged().isEmpty();
-                if (left > 0 && empty && model.isPresent() && mayStage(s, model.get(), now)) {
+            for (StagingPlanner.Stage s : StagingPlanner.plan(
+                    view.profile(), engines, groups, view.demand(), id -> stagingOf(id, view.profile(), now))) {
+                if (left > 0) {
+                    staging.put(s.server().lifetime(), new Staging(s.model().name(), now));
                     GroupKey none = new GroupKey("none", 0);
-                    actions.add(new FormationAction.Stage(s, none, model.get().name(), "a new engine without weights"));
+                    actions.add(new FormationAction.Stage(
+                            s.server(), none, s.model().name(), "its domain lacks the model"));
                     left--;
                 }
             }
         }
-        return view.beforeRequests() ? loads : left;
+        return left;
+    }
+
+    /** Returns the model that an engine is staging. */
+    private Optional<String> stagingOf(BackendServer.Lifetime engine, EngineProfile profile, Moment now) {
+        Staging s = staging.get(engine);
+        if (s == null) {
+            return Optional.empty();
+        }
+        Duration patience = profile.model(s.model())
+                .map(m -> m.loadTime().multipliedBy(STAGING_PATIENCE))
+                .orElse(Duration.ZERO);
+        return now.isBefore(s.since().plus(patience)) ? Optional.of(s.model()) : Optional.empty();
     }
 
     /**
@@ -439,7 +461,7 @@
                 continue;
             }
             Optional<EngineModel> model = otherModel(view.profile(), s);
-            if (model.isPresent() && mayStage(s, model.get(), now)) {
+            if (model.isPresent() && mayStage(s, model.get(), view, now)) {
                 actions.add(new FormationAction.Stage(
                         s, s.group().get().key(), model.get().name(), "the host holds no other model"));
                 left--;
@@ -454,7 +476,7 @@
                         s.group().filter(m -> m.state() == MemberState.JOINING).isPresent())
                 .count();
         long underWay = staging.values().stream()
-                .filter(since -> now.isBefore(since.plus(STAGING_TIME)))
+                .filter(x -> now.isBefore(x.since().plus(STAGING_TIME)))
                 .count();
         boolean emptyOnes = view.engines().stream()
                 .anyMatch(s -> s.model().isEmpty() && s.staged().isEmpty());
@@ -474,12 +496,11 @@
                 .findFirst();
     }
 
-    private boolean mayStage(BackendServer s, EngineModel model, Moment now) {
-        Moment before = staging.get(s.lifetime());
-        if (before != null && now.isBefore(before.plus(model.loadTime().multipliedBy(2)))) {
+    private boolean mayStage(BackendServer s, EngineModel model, View view, Moment now) {
+        if (stagingOf(s.lifetime(), view.profile(), now).isPresent()) {
             return false;
         }
-        staging.put(s.lifetime(), now);
+        staging.put(s.lifetime(), new Staging(model.name(), now));
         return true;
     }
 
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
@@ -114,8 +114,7 @@
     }
 
     /** The demand for each slot there is; one group more than there are, so that a model without groups is comparable. */
-    private static double need(
-            EngineProfile profile, EngineModel model, Map<String, Integer> groups, ModelDemand demand) {
+    static double need(EngineProfile profile, EngineModel model, Map<String, Integer> groups, ModelDemand demand) {
         int slots = (groups.getOrDefault(model.name(), 0) + 1) * profile.slots();
         return demand.slots(model.name()) / slots;
     }
--- a/core/src/test/java/org/baobabspindle/core/formation/Engines.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/Engines.java
@@ -57,6 +57,23 @@
                 Optional.of(new GroupMembership(key, rank, state)));
     }
 
+    /** Returns a free engine whose host holds a model and that has been in no group since its start. */
+    public static BackendServer holding(BackendServer s, EngineModel model) {
+        return new BackendServer(
+                s.id(),
+                s.service(),
+                s.host(),
+                s.port(),
+                s.zone(),
+                s.state(),
+                s.slots(),
+                s.bornMillis(),
+                s.domain(),
+                Optional.empty(),
+                Optional.of(model.name()),
+                Optional.empty());
+    }
+
     public static BackendServer draining(BackendServer s) {
         return new BackendServer(
                 s.id(),
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -205,6 +205,17 @@
             three.add(Engines.free("e9", "d1"));
             assertThat(kinds(decide(three, START))).containsExactly(FormationAction.Stage.class);
         }
+
+        @Test
+        void survivorsThatHoldDifferentModelsStageOneThatTheyLack() {
+            List<BackendServer> engines = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                EngineModel model = i == 0 ? Engines.SMALL : Engines.LARGE;
+                engines.add(Engines.holding(Engines.free("e" + i, "d1"), model));
+            }
+            List<FormationAction> actions = decide(engines, START);
+            assertThat(kinds(actions)).containsExactly(FormationAction.Stage.class);
+        }
     }
 
     @Nested
