--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -147,6 +147,9 @@
 
     /** Returns whether the members of the group stay bound to it; otherwise they are free. */
     private boolean keepGroup(GroupView g, View view, Moment now, List<FormationAction> actions) {
+        if (released.containsKey(g.key())) {
+            return false;
+        }
         boolean own = g.members().values().stream()
                 .allMatch(s -> s.domain().isPresent()
                         && view.ownDomains().test(s.domain().get()));
@@ -180,6 +183,9 @@
         } else if (g.all(MemberState.READY)) {
             order(new FormationAction.Open(head, g.key(), "all members are ready"), now, actions);
         } else if (head.group().orElseThrow().state() == MemberState.OPEN) {
+            if (converting.containsKey(g.key())) {
+                order(new FormationAction.Close(head, g.key(), "another model needs its engines"), now, actions);
+            }
             forming.remove(g.key());
         }
     }
@@ -374,14 +380,19 @@
         Set<GroupKey> present = new HashSet<>();
         view.engines().forEach(s -> s.group().ifPresent(m -> present.add(m.key())));
         for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
+            Optional<EngineModel> promised =
+                    Optional.ofNullable(awaited.get(e.getKey())).map(Rebalancer.Conversion::model);
             if (awaitsDonors(e.getKey(), present, now)) {
                 continue;
             }
             List<BackendServer> left = new ArrayList<>(e.getValue());
             left.sort(Comparator.comparing(BackendServer::id));
             while (true) {
-                Optional<GroupPlanner.Plan> plan =
-                        GroupPlanner.next(view.profile(), left, groups, view.demand(), view.beforeRequests());
+                Optional<GroupPlanner.Plan> plan = promised.filter(m -> m.groupSize() <= left.size())
+                        .map(m -> GroupPlanner.plan(m, left))
+                        .or(() ->
+                                GroupPlanner.next(view.profile(), left, groups, view.demand(), view.beforeRequests()));
+                promised = Optional.empty();
                 if (plan.isEmpty()) {
                     break;
                 }
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
@@ -76,7 +76,14 @@
         return Optional.ofNullable(best);
     }
 
-    private static Plan plan(EngineModel model, List<BackendServer> free) {
+    /**
+     * Plans a group of a stated model.
+     *
+     * @param model the model
+     * @param free the free engines of one domain, at least as many as the group needs
+     * @return the group of the engines that are ready soonest
+     */
+    static Plan plan(EngineModel model, List<BackendServer> free) {
         List<BackendServer> soonest = new ArrayList<>(free);
         soonest.sort(
                 Comparator.comparing((BackendServer s) -> joinTime(model, s)).thenComparing(BackendServer::id));
--- a/core/src/main/java/org/baobabspindle/core/formation/Rebalancer.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Rebalancer.java
@@ -80,7 +80,7 @@
         return demand.slots(model.name()) / (Math.max(groups, 0.5) * profile.slots());
     }
 
-    /** Returns the donors of one domain that, with its free engines, suffice for a group; the quickest to join first. */
+    /** Returns the donors of one domain that, with its free engines, suffice for a group without loading weights. */
     private static Optional<Candidate> candidate(DomainView d, EngineModel wanted, EngineModel donor) {
         List<GroupView> donors = new ArrayList<>(d.serving().stream()
                 .filter(g -> g.model().equals(Optional.of(donor.name())))
@@ -105,6 +105,9 @@
                 .skip(wanted.groupSize() - 1L)
                 .findFirst()
                 .orElseThrow();
+        if (readyAfter.equals(wanted.loadTime())) {
+            return Optional.empty();
+        }
         return Optional.of(new Candidate(new Conversion(d.domain(), wanted, chosen), readyAfter));
     }
 
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -255,6 +255,20 @@
                     a -> assertThat(a.server().domain().orElseThrow().value()).isEqualTo("d1"));
         }
 
+        @Test
+        void theReleasedEnginesFormTheLargerGroup() {
+            pairs("d1", 4);
+            Map<String, Double> demand = Map.of("large", 30.0, "small", 10.0);
+            for (FormationAction a : decideWith(demand, START)) {
+                formation.headLeft(a.key(), at(100));
+            }
+            List<FormationAction> joins = decideWith(demand, at(200)).stream()
+                    .filter(a -> a instanceof FormationAction.Join)
+                    .toList();
+            assertThat(joins).hasSize(4);
+            joins.forEach(a -> assertThat(((FormationAction.Join) a).model()).isEqualTo("large"));
+        }
+
         @Test
         void nothingIsClosedWhileTheDonorsAreAsFull() {
             pairs("d1", 4);
