--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -43,9 +43,6 @@
     /** Before the first request, groups wait this long for further engines, which start at about the same time. */
     private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
 
-    /** How long a group may take to finish its requests when another model needs its engines. */
-    private static final Duration CONVERSION = Duration.ofSeconds(6);
-
     /** Loads that staging leaves for groups; the members of the largest one. */
     private static final int LOADS_KEPT_FOR_GROUPS = 4;
 
@@ -63,8 +60,7 @@
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
     private final Map<BackendServer.Lifetime, Staging> staging = new HashMap<>();
-    private final Map<GroupKey, Moment> converting = new HashMap<>();
-    private final Map<FabricDomain, Rebalancer.Conversion> awaited = new HashMap<>();
+    private final Conversions conversions = new Conversions();
     private Set<BackendServer.Lifetime> known = Set.of();
     private Moment lastArrival;
 
@@ -178,12 +174,12 @@
 
     private void open(GroupView g, Moment now, List<FormationAction> actions) {
         BackendServer head = g.head().orElseThrow();
-        if (g.all(MemberState.READY) && converting.containsKey(g.key())) {
+        if (g.all(MemberState.READY) && conversions.isDonor(g.key())) {
             order(new FormationAction.Leave(head, g.key(), "another model needs its engines"), now, actions);
         } else if (g.all(MemberState.READY)) {
             order(new FormationAction.Open(head, g.key(), "all members are ready"), now, actions);
         } else if (head.group().orElseThrow().state() == MemberState.OPEN) {
-            if (converting.containsKey(g.key())) {
+            if (conversions.isDonor(g.key())) {
                 order(new FormationAction.Close(head, g.key(), "another model needs its engines"), now, actions);
             }
             forming.remove(g.key());
@@ -305,7 +301,7 @@
         boolean changing = view.engines().stream()
                 .flatMap(s -> s.group().stream())
                 .anyMatch(m -> m.state() == MemberState.CLOSING);
-        if (view.beforeRequests() || changing || !converting.isEmpty()) {
+        if (view.beforeRequests() || changing || conversions.underWay()) {
             return;
         }
         Optional<Rebalancer.Conversion> chosen =
@@ -313,8 +309,8 @@
         if (chosen.isEmpty() || !view.ownDomains().test(chosen.get().domain())) {
             return;
         }
+        conversions.begin(chosen.get(), now);
         for (GroupKey donor : chosen.get().donors()) {
-            converting.put(donor, now);
             view.engines().stream()
                     .filter(s -> s.group()
                             .filter(m -> m.head() && m.key().equals(donor))
@@ -325,7 +321,6 @@
                             now,
                             actions));
         }
-        awaited.put(chosen.get().domain(), chosen.get());
     }
 
     private static List<Rebalancer.DomainView> domains(View view, Map<FabricDomain, List<BackendServer>> free) {
@@ -345,27 +340,6 @@
         return List.copyOf(domains.values());
     }
 
-    /** Returns whether the domain waits for groups that are being dissolved for another model. */
-    private boolean awaitsDonors(FabricDomain domain, Set<GroupKey> present, Moment now) {
-        Rebalancer.Conversion c = awaited.get(domain);
-        if (c == null) {
-            return false;
-        }
-        boolean waits = c.donors().stream()
-                .anyMatch(d -> converting.containsKey(d) && present.contains(d) && !released.containsKey(d));
-        boolean over = !now.isBefore(c.donors().stream()
-                .map(d -> converting.getOrDefault(d, now))
-                .findFirst()
-                .orElse(now)
-                .plus(CONVERSION));
-        if (!waits || over) {
-            awaited.remove(domain);
-            c.donors().forEach(converting::remove);
-            return false;
-        }
-        return true;
-    }
-
     /** Forms groups from free engines and returns the loads that may still begin. */
     private int form(
             View view,
@@ -380,9 +354,8 @@
         Set<GroupKey> present = new HashSet<>();
         view.engines().forEach(s -> s.group().ifPresent(m -> present.add(m.key())));
         for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
-            Optional<EngineModel> promised =
-                    Optional.ofNullable(awaited.get(e.getKey())).map(Rebalancer.Conversion::model);
-            if (awaitsDonors(e.getKey(), present, now)) {
+            Optional<EngineModel> promised = conversions.promised(e.getKey());
+            if (conversions.awaitsDonors(e.getKey(), d -> present.contains(d) && !released.containsKey(d), now)) {
                 continue;
             }
             List<BackendServer> left = new ArrayList<>(e.getValue());
@@ -594,8 +567,7 @@
         Moment old = now.minus(Duration.ofMinutes(1));
         released.values().removeIf(m -> m.isBefore(old));
         closing.values().removeIf(m -> m.isBefore(old));
-        Moment given = now.minus(CONVERSION);
-        converting.values().removeIf(m -> m.isBefore(given));
+        conversions.expire(now);
         ordered.values().removeIf(m -> m.isBefore(old));
     }
 }
