--- a/core/src/main/java/org/baobabspindle/core/dispatch/OfferedLoad.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/OfferedLoad.java
@@ -66,6 +66,18 @@
         }
     }
 
+    /**
+     * Returns the time that a request holds a slot.
+     *
+     * @param model the model
+     * @return the average of those that have ended
+     */
+    public Duration slotTime(String model) {
+        Rate r = rates.get(model);
+        double seconds = r == null ? FIRST_GUESS_SECONDS : r.serviceSeconds;
+        return Duration.ofNanos((long) (seconds * Duration.ofSeconds(1).toNanos()));
+    }
+
     /**
      * Returns the slots that the requests would fill.
      *
--- a/core/src/main/java/org/baobabspindle/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/WaitingLine.java
@@ -1,51 +1,73 @@
 package org.baobabspindle.core.dispatch;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
-import java.util.PriorityQueue;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.baobabspindle.core.time.Moment;
 
 /**
- * Requests that wait for a slot. Answers demand above the slots: the urgent go first, and among equals those whose time to
- * be useful ends first; a request that cannot be useful any more is given up at once.
+ * Requests that wait for a slot. Answers demand above the slots: urgent requests go first; among equals, those that can still
+ * be on time go before those that cannot, and the one whose time ends first goes first. In a lasting shortage a line by
+ * arrival alone would serve every request late.
  *
  * @param <T> the request
  */
 public final class WaitingLine<T> {
-    private final PriorityQueue<Entry<T>> line = new PriorityQueue<>(Comparator.<Entry<T>>comparingInt(Entry::priority)
-            .thenComparingLong(e -> e.until().steadyNanos()));
+    private final List<Entry<T>> line = new ArrayList<>();
 
     /** Creates an empty line. */
     public WaitingLine() {}
 
-    private record Entry<T>(T request, int priority, Moment until) {}
+    /**
+     * How long waiting is useful.
+     *
+     * @param onTime until when a slot makes the answer come on time
+     * @param late until when a late answer is still of use
+     */
+    public record Patience(Moment onTime, Moment late) {}
+
+    private record Entry<T>(T request, int priority, Patience patience) {
+        boolean canBeOnTime(Moment now) {
+            return now.isBefore(patience.onTime());
+        }
+    }
 
     /**
      * Adds a request.
      *
      * @param request the request
      * @param priority its rank, 0 goes first
-     * @param until how long waiting is useful
+     * @param patience how long waiting is useful
      */
-    public void add(T request, int priority, Moment until) {
-        line.add(new Entry<>(request, priority, until));
+    public void add(T request, int priority, Patience patience) {
+        line.add(new Entry<>(request, priority, patience));
     }
 
     /**
      * Offers the requests to a taker in their order until it takes no more.
      *
      * @param taker takes a request and tells whether it did
+     * @param now the present time
      */
-    public void offer(Predicate<T> taker) {
-        while (!line.isEmpty() && taker.test(line.peek().request())) {
-            line.poll();
+    public void offer(Predicate<T> taker, Moment now) {
+        while (true) {
+            Optional<Entry<T>> next = line.stream().min(order(now));
+            if (next.isEmpty() || !taker.test(next.get().request())) {
+                return;
+            }
+            line.remove(next.get());
         }
     }
 
+    private static <T> Comparator<Entry<T>> order(Moment now) {
+        return Comparator.<Entry<T>>comparingInt(Entry::priority)
+                .thenComparing(e -> !e.canBeOnTime(now))
+                .thenComparingLong(e -> e.patience().onTime().steadyNanos());
+    }
+
     /**
      * Removes a request.
      *
@@ -66,7 +88,7 @@
         List<T> result = new ArrayList<>();
         for (Iterator<Entry<T>> i = line.iterator(); i.hasNext(); ) {
             Entry<T> e = i.next();
-            if (!now.isBefore(e.until())) {
+            if (!now.isBefore(e.patience().late())) {
                 i.remove();
                 result.add(e.request());
             }
@@ -82,16 +104,4 @@
     public int size() {
         return line.size();
     }
-
-    /**
-     * Says how long a request may wait: until its answer would be late, but not into the last part of its time.
-     *
-     * @param targetLatency the time within which an answer is worth most
-     * @param timeLeft the time until the deadline
-     * @return the longest useful wait
-     */
-    public static Duration usefulWait(Duration targetLatency, Duration timeLeft) {
-        Duration half = timeLeft.dividedBy(2);
-        return targetLatency.compareTo(half) < 0 ? targetLatency : half;
-    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -9,6 +9,7 @@
 import org.baobabspindle.core.dispatch.Target;
 import org.baobabspindle.core.dispatch.TargetPool;
 import org.baobabspindle.core.dispatch.WaitingLine;
+import org.baobabspindle.core.dispatch.WaitingPolicy;
 import org.baobabspindle.core.fleet.AccountPolicy;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Route;
@@ -108,7 +109,9 @@
         if (context.stopping().refusesNew(now)) {
             return Optional.of(Refusal.STOPPING);
         }
-        return context.dispatcher().hasTarget(pool) ? Optional.empty() : Optional.of(Refusal.NO_CAPACITY);
+        Duration wait = context.dispatcher().predictedWait(pool, context.entries(), now);
+        boolean inVain = !now.plus(wait).isBefore(patience().late());
+        return inVain ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
     }
 
     private Optional<Refusal> judgeKey(FleetConfiguration configuration, Moment now) {
@@ -158,13 +161,11 @@
             if (over) {
                 return;
             }
-            Route r = route.orElseThrow();
-            Duration left = Duration.ofMillis(Math.max(0, deadline.steadyMillisSince(now)));
             waitingSince = now;
             t = new Dispatcher.Ticket(
                     pool,
                     committed ? 0 : priority(),
-                    now.plus(WaitingLine.usefulWait(r.targetLatency(), left)),
+                    runs + refusals > 0 ? retryPatience(now) : patience(),
                     tried,
                     this::run,
                     this::waitedInVain);
@@ -173,6 +174,17 @@
         context.dispatcher().submit(t, now);
     }
 
+    private WaitingLine.Patience patience() {
+        Route r = route.orElseThrow();
+        return WaitingPolicy.patience(receivedAt, r.targetLatency(), timeAllowed(r));
+    }
+
+    /** A request that goes on elsewhere has been paid for in part; it waits for half of the time it has left. */
+    private WaitingLine.Patience retryPatience(Moment now) {
+        Moment until = now.plus(Duration.ofMillis(Math.max(0, deadline.steadyMillisSince(now) / 2)));
+        return new WaitingLine.Patience(until, until);
+    }
+
     private int priority() {
         return account()
                 .flatMap(
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -18,6 +18,7 @@
 import org.baobabspindle.core.dispatch.TargetHealth;
 import org.baobabspindle.core.dispatch.TargetPool;
 import org.baobabspindle.core.dispatch.WaitingLine;
+import org.baobabspindle.core.dispatch.WaitingPolicy;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.port.GatewaySettings;
@@ -48,12 +49,18 @@
      *
      * @param pool the targets that can serve it
      * @param priority its rank, 0 goes first
-     * @param until how long waiting is useful
+     * @param patience how long waiting is useful
      * @param avoid the keys of targets that it has already been sent to
      * @param taker hears its target
      * @param giveUp hears that its time is over
      */
-    record Ticket(TargetPool pool, int priority, Moment until, Set<String> avoid, Taker taker, Runnable giveUp) {
+    record Ticket(
+            TargetPool pool,
+            int priority,
+            WaitingLine.Patience patience,
+            Set<String> avoid,
+            Taker taker,
+            Runnable giveUp) {
         /** Copies the set. */
         Ticket {
             avoid = Set.copyOf(avoid);
@@ -84,7 +91,7 @@
     void submit(Ticket ticket, Moment now) {
         synchronized (this) {
             lines.computeIfAbsent(ticket.pool(), p -> new WaitingLine<>())
-                    .add(ticket, ticket.priority(), ticket.until());
+                    .add(ticket, ticket.priority(), ticket.patience());
         }
         drain(now);
     }
@@ -103,7 +110,7 @@
             Function<String, Integer> totals = loads.totals(now);
             for (Map.Entry<TargetPool, WaitingLine<Ticket>> e : lines.entrySet()) {
                 expired.addAll(e.getValue().expired(now));
-                e.getValue().offer(t -> assign(t, totals, assigned, now));
+                e.getValue().offer(t -> assign(t, totals, assigned, now), now);
             }
         }
         assigned.forEach(a -> workers.execute(() -> a.ticket().taker().take(a.target())));
@@ -122,14 +129,13 @@
         return true;
     }
 
-    /** Returns whether the pool has a target at all, and how many requests wait for it. */
-    synchronized int waiting(TargetPool pool) {
+    /** Returns how long a new request of a pool is likely to wait; days if the pool has no target. */
+    synchronized Duration predictedWait(TargetPool pool, int entries, Moment now) {
+        List<Target> targets = fleet.catalog().targets(pool);
+        int slots = targets.stream().mapToInt(Target::slots).sum();
         WaitingLine<Ticket> line = lines.get(pool);
-        return line == null ? 0 : line.size();
-    }
-
-    synchronized boolean hasTarget(TargetPool pool) {
-        return !fleet.catalog().targets(pool).isEmpty();
+        int ahead = line == null ? 0 : line.size();
+        return WaitingPolicy.predictedWait(ahead, slots, entries, offered.slotTime(pool.model()));
     }
 
     /** Notes that a request was handed to its target. */
@@ -187,9 +193,7 @@
 
     synchronized void requested(TargetPool pool, Moment now) {
         retryWindow(pool.service()).requested(now);
-        if (!pool.model().isEmpty()) {
-            offered.arrived(pool.model(), now);
-        }
+        offered.arrived(pool.model(), now);
     }
 
     /** Notes how long a request that was served held its slot. */
