--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -90,6 +90,7 @@
     private final GroupKeeper keeper;
     private final SilenceGuard silence;
     private final GatewayServer server;
+    private PeerServer peerServer;
     private volatile boolean announced;
 
     private GatewayNode(Platform platform) throws Exception {
@@ -160,6 +161,23 @@
         Thread.currentThread().join();
     }
 
+    /** Starts an entry that ends with {@link #shutDown()}. */
+    static GatewayNode open(Platform platform) throws Exception {
+        GatewayNode node = new GatewayNode(platform);
+        node.start();
+        return node;
+    }
+
+    void shutDown() throws Exception {
+        timer.shutdownNow();
+        server.stop();
+        client.stop();
+        peerServer.close();
+        mesh.close();
+        peerWorkers.shutdownNow();
+        threads.stop();
+    }
+
     /**
      * Starts an entry, asks it questions and returns; the caller ends the process.
      *
@@ -188,7 +206,7 @@
 
     private void start() throws IOException {
         log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
-        PeerServer.start(
+        peerServer = PeerServer.start(
                 self.host(), self.peerPort(), new PeerSecret(self.secret()), peerWorkers, this::answerPeer, traffic);
         feed(Feed.CONFIGURATION, CONFIGURATION_PACE, (page, whole, askedAt) -> {
             fleet.configurationRead(page.records(), askedAt);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -66,6 +66,10 @@
         server.addConnector(connector);
     }
 
+    void stop() throws Exception {
+        server.stop();
+    }
+
     void start(Handler handler) throws Exception {
         server.setHandler(handler);
         server.start();
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -63,6 +63,10 @@
         this.log = log;
     }
 
+    void close() {
+        client.close();
+    }
+
     /** Takes over records of the feed of entries. */
     synchronized void read(List<FeedRecord> records) {
         for (FeedRecord r : records) {
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -0,0 +1,232 @@
+package org.baobabspindle.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.id.Region;
+import org.baobabspindle.port.DirectoryFormat;
+import org.baobabspindle.port.EngineOrder;
+import org.baobabspindle.port.EnginePort;
+import org.baobabspindle.port.EngineReport;
+import org.baobabspindle.port.Feed;
+import org.baobabspindle.port.FeedPage;
+import org.baobabspindle.port.FeedRecord;
+import org.baobabspindle.port.FleetDecoder;
+import org.baobabspindle.port.ForwardingHeaders;
+import org.baobabspindle.port.GatewaySettings;
+import org.baobabspindle.port.LeaseGrant;
+import org.baobabspindle.port.OrderAnswer;
+import org.baobabspindle.port.Platform;
+import org.baobabspindle.port.PlatformStore;
+import org.baobabspindle.port.StoreException;
+import org.eclipse.jetty.client.HttpClient;
+
+/** A platform in memory: one configuration, a list of backend servers, and a store that can be made to fail. */
+final class FakePlatform implements Platform, PlatformStore, FleetDecoder, EnginePort, DirectoryFormat {
+    static final ForwardingHeaders HEADERS = new ForwardingHeaders(
+            "Id",
+            "Left-Ms",
+            "Key",
+            "Account",
+            "Expect",
+            "Not-Run",
+            "Stamp",
+            "Model",
+            "Tokens",
+            "Urgency",
+            "Last-Event-Id",
+            "Fault-At");
+
+    private final FleetConfiguration configuration;
+    private final List<BackendServer> servers;
+    private final List<Integer> ports = new ArrayList<>();
+    private volatile boolean down;
+
+    FakePlatform(FleetConfiguration configuration, List<BackendServer> servers) throws IOException {
+        this.configuration = configuration;
+        this.servers = List.copyOf(servers);
+        List<ServerSocket> sockets = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            sockets.add(s);
+            ports.add(s.getLocalPort());
+        }
+        for (ServerSocket s : sockets) {
+            s.close();
+        }
+    }
+
+    String callers() {
+        return "http://127.0.0.1:" + ports.get(0);
+    }
+
+    int callerPort() {
+        return ports.get(0);
+    }
+
+    String readiness() {
+        return "http://127.0.0.1:" + ports.get(1) + "/ready";
+    }
+
+    String directoryUrl() {
+        return "http://127.0.0.1:" + ports.get(2) + "/addresses";
+    }
+
+    /** Makes every call to the store fail from now on. */
+    void takeDown() {
+        down = true;
+    }
+
+    @Override
+    public GatewaySettings settings() {
+        return new GatewaySettings(
+                InstanceId.of("entry"),
+                "127.0.0.1",
+                AvailabilityZone.of("z1"),
+                Map.of(AvailabilityZone.of("z1"), Region.of("r1")),
+                new GatewaySettings.Listeners(
+                        ports.get(0), ports.get(1), ports.get(2), ports.get(3), OptionalInt.empty()),
+                new GatewaySettings.Bounds(
+                        Duration.ofMillis(2_500),
+                        Duration.ofSeconds(2),
+                        0.2,
+                        100,
+                        Duration.ofSeconds(10),
+                        Duration.ofSeconds(6),
+                        Duration.ofSeconds(2),
+                        Duration.ofSeconds(5),
+                        1.1,
+                        Duration.ofSeconds(5)),
+                1,
+                Duration.ofSeconds(1));
+    }
+
+    @Override
+    public GatewaySettings reload() {
+        return settings();
+    }
+
+    @Override
+    public PlatformStore store(HttpClient client) {
+        return this;
+    }
+
+    @Override
+    public EnginePort engines(HttpClient client) {
+        return this;
+    }
+
+    @Override
+    public FleetDecoder decoder() {
+        return this;
+    }
+
+    @Override
+    public ForwardingHeaders headers() {
+        return HEADERS;
+    }
+
+    @Override
+    public DirectoryFormat directory() {
+        return this;
+    }
+
+    private <T> CompletableFuture<T> answer(T value) {
+        return down
+                ? CompletableFuture.failedFuture(new StoreException("the store is down"))
+                : CompletableFuture.completedFuture(value);
+    }
+
+    @Override
+    public CompletableFuture<FeedPage> newest(Feed feed) {
+        List<FeedRecord> records = new ArrayList<>();
+        if (feed == Feed.CONFIGURATION) {
+            records.add(new FeedRecord("configuration", Optional.of(new byte[1])));
+        } else if (feed == Feed.BACKEND_SERVERS) {
+            servers.forEach(s -> records.add(new FeedRecord(s.id().value(), Optional.of(new byte[1]))));
+        }
+        return answer(new FeedPage(records, 0, false));
+    }
+
+    @Override
+    public CompletableFuture<FeedPage> read(Feed feed, long from, Duration wait) {
+        return answer(new FeedPage(List.of(), from, false)).completeOnTimeout(FeedPage.gone(), 1, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public CompletableFuture<Void> announce(String key, byte[] value) {
+        return answer(null);
+    }
+
+    @Override
+    public CompletableFuture<LeaseGrant> renewLease(String member, Duration timeToLive, long generation) {
+        return answer(new LeaseGrant(1, Set.of()));
+    }
+
+    @Override
+    public CompletableFuture<Void> releaseLease(String member) {
+        return answer(null);
+    }
+
+    @Override
+    public CompletableFuture<Long> nextTerm(String member) {
+        return answer(1L);
+    }
+
+    @Override
+    public Optional<FleetConfiguration> configuration(FeedRecord record) {
+        return Optional.of(configuration);
+    }
+
+    @Override
+    public Optional<BackendServer> server(FeedRecord record) {
+        return servers.stream().filter(s -> s.id().value().equals(record.key())).findFirst();
+    }
+
+    @Override
+    public CompletableFuture<OrderAnswer> order(
+            BackendServer server, EngineOrder order, OptionalLong expectedSequence, Duration timeout) {
+        return CompletableFuture.completedFuture(OrderAnswer.REFUSED);
+    }
+
+    @Override
+    public CompletableFuture<Optional<EngineReport>> probe(BackendServer server, Duration timeout) {
+        return CompletableFuture.completedFuture(
+                Optional.of(new EngineReport(0, 0, server.group().map(m -> m.key()))));
+    }
+
+    @Override
+    public boolean asksReadiness(String method, String path) {
+        return path.equals("/ready");
+    }
+
+    @Override
+    public boolean asksAddresses(String method, String path) {
+        return path.equals("/addresses");
+    }
+
+    @Override
+    public Optional<AvailabilityZone> zone(String query) {
+        return Optional.empty();
+    }
+
+    @Override
+    public byte[] answer(List<String> addresses, Duration lifetime) {
+        return String.join(",", addresses).getBytes(StandardCharsets.UTF_8);
+    }
+}
