Crash records reach the other entries before the caller is answered

The entry now has the others read the log, and answers when those that answer have replayed the record.

--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -103,12 +103,12 @@
                 GroupTimings.DEFAULT,
                 settings.maxRunningPerGroup(),
                 new Services.Clients(engines, new CompletionClient(fresh), serviceClient),
-                appender::append,
+                new SpreadingAppends(appender, tables, peers),
                 new PeerForwarder(tables, peers),
                 new PeerHomes(peers),
                 evidence,
                 RandomGenerator.getDefault());
-        answers.set(new PeerAnswers(tables, services, inProgress));
+        answers.set(new PeerAnswers(tables, services, inProgress, follower::nudge));
         startLoops(evidence, engines, serviceClient, traffic);
     }
 
--- a/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
+++ b/entry/src/main/java/org/baobabspindle/node/PeerAnswers.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.baobabspindle.caller.Problem;
@@ -27,14 +28,21 @@
 final class PeerAnswers implements Function<PeerMessage, PeerMessage> {
     private static final int MAX_FORWARDED_BYTES = 4 * 1024 * 1024;
 
+    /** A read of the log and its replay take a few milliseconds; the asking entry waits a little longer. */
+    private static final Duration LOG_READ_WAIT = Duration.ofMillis(400);
+
+    private static final long LOG_READ_CHECK_MILLIS = 5;
+
     private final EntryTables tables;
     private final Services services;
     private final AtomicInteger inProgress;
+    private final Runnable readNow;
 
-    PeerAnswers(EntryTables tables, Services services, AtomicInteger inProgress) {
+    PeerAnswers(EntryTables tables, Services services, AtomicInteger inProgress, Runnable readNow) {
         this.tables = tables;
         this.services = services;
         this.inProgress = inProgress;
+        this.readNow = readNow;
     }
 
     @Override
@@ -48,12 +56,30 @@
         if (ask instanceof PeerMessage.ForwardAsk f) {
             return countForwarded(f);
         }
+        if (ask instanceof PeerMessage.LogReadAsk l) {
+            return readLog(l);
+        }
         if (ask instanceof PeerMessage.TokensAsk t) {
             return new PeerMessage.TokensAnswer(services.grant(t.account(), t.wanted()));
         }
         return new PeerMessage.Failed("not a question: " + ask.getClass().getSimpleName());
     }
 
+    /** Reads the log at once and answers when it has been replayed that far, or after a while. */
+    private PeerMessage readLog(PeerMessage.LogReadAsk ask) {
+        readNow.run();
+        long end = System.nanoTime() + LOG_READ_WAIT.toNanos();
+        while (tables.log().with(v -> v.state().next()).compareTo(ask.upTo()) < 0 && System.nanoTime() < end) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(LOG_READ_CHECK_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        return new PeerMessage.Noted();
+    }
+
     private PeerMessage versions(PeerMessage.VersionAsk ask) {
         VersionVector vector = tables.log().with(v -> VersionVector.of(v.state(), ask.region()));
         return new PeerMessage.VersionAnswer(tables.id(), vector.configuration(), vector.membership());
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/node/SpreadingAppends.java
@@ -0,0 +1,57 @@
+package org.baobabspindle.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.baobabspindle.core.id.LogOffset;
+import org.baobabspindle.core.log.EntryDescription;
+import org.baobabspindle.core.log.LogRecord;
+import org.baobabspindle.logging.DecisionLog;
+import org.baobabspindle.peer.PeerAddress;
+import org.baobabspindle.peer.PeerClient;
+import org.baobabspindle.peer.PeerMessage;
+import org.baobabspindle.platform.LogAppender;
+import org.baobabspindle.serving.Appends;
+import org.baobabspindle.serving.EntryTables;
+
+/** Appends to the log, and has other entries read it without the pause in which they let records gather. */
+final class SpreadingAppends implements Appends {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(600);
+
+    private final LogAppender appender;
+    private final EntryTables tables;
+    private final PeerClient peers;
+
+    SpreadingAppends(LogAppender appender, EntryTables tables, PeerClient peers) {
+        this.appender = appender;
+        this.tables = tables;
+        this.peers = peers;
+    }
+
+    @Override
+    public CompletableFuture<LogAppender.Settled> append(LogRecord record) {
+        return appender.append(record);
+    }
+
+    @Override
+    public CompletableFuture<Void> spread() {
+        LogOffset upTo = tables.log().with(v -> v.state().next());
+        List<EntryDescription> entries =
+                tables.log().with(v -> v.state().membership().entries());
+        List<CompletableFuture<Void>> asked = new ArrayList<>();
+        for (EntryDescription e : entries) {
+            if (!e.id().equals(tables.id())) {
+                PeerAddress address = new PeerAddress(e.peerHost(), e.peerPort());
+                asked.add(peers.ask(address, new PeerMessage.LogReadAsk(upTo), ANSWER_TIMEOUT)
+                        .handle((answer, failure) -> {
+                            if (failure != null) {
+                                DecisionLog.write("spread", "an entry did not answer: " + failure, "entry", e.id());
+                            }
+                            return null;
+                        }));
+            }
+        }
+        return CompletableFuture.allOf(asked.toArray(CompletableFuture<?>[]::new));
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -11,6 +11,7 @@
 import org.baobabspindle.core.id.GroupId;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.id.Region;
 
 /** What entries say to each other. */
@@ -32,6 +33,7 @@
     @JsonSubTypes.Type(value = PeerMessage.ConfigurationAnswer.class, name = "N"),
     @JsonSubTypes.Type(value = PeerMessage.EnginesSuspected.class, name = "s"),
     @JsonSubTypes.Type(value = PeerMessage.Noted.class, name = "S"),
+    @JsonSubTypes.Type(value = PeerMessage.LogReadAsk.class, name = "r"),
     @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "x")
 })
 public sealed interface PeerMessage {
@@ -194,6 +196,13 @@
      */
     record EnginesSuspected(InstanceId by, List<InstanceId> engines) implements PeerMessage {}
 
+    /**
+     * Asks an entry to read the log at once.
+     *
+     * @param upTo the offset to reach before the answer
+     */
+    record LogReadAsk(LogOffset upTo) implements PeerMessage {}
+
     /** Says that a message has been taken over. */
     record Noted() implements PeerMessage {}
 
--- a/entry/src/main/java/org/baobabspindle/serving/Appends.java
+++ b/entry/src/main/java/org/baobabspindle/serving/Appends.java
@@ -13,4 +13,13 @@
      * @return completes when this entry has replayed the record, however long that takes
      */
     CompletableFuture<LogAppender.Settled> append(LogRecord record);
+
+    /**
+     * Has the other entries read the log at once.
+     *
+     * @return completes when those that answer have replayed what this entry has replayed
+     */
+    default CompletableFuture<Void> spread() {
+        return CompletableFuture.completedFuture(null);
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/serving/CrashWatch.java
+++ b/entry/src/main/java/org/baobabspindle/serving/CrashWatch.java
@@ -28,6 +28,7 @@
  */
 final class CrashWatch {
     private static final Duration RECORD_WAIT = Duration.ofSeconds(1);
+    private static final Duration SPREAD_WAIT = Duration.ofMillis(800);
     private static final Duration PROBE_WAIT = Duration.ofSeconds(1);
     private static final Duration RECENT = Duration.ofSeconds(5);
     private static final int MOST_WITNESSES = 8;
@@ -47,7 +48,7 @@
         return tables.log().with(v -> v.state().suspects().crashes(request.fingerprint()));
     }
 
-    /** Notes that a group broke while it ran a request; returns when other entries can know, or soon after. */
+    /** Notes that a group broke while it ran a request; returns once the entries that answer know. */
     void broke(Instant now, CallerRequest request, GroupId group) {
         tables.groups().use(g -> g.evidence().broke(now, group));
         Optional<Group> known = tables.log().with(v -> v.state().groupState().group(group));
@@ -63,6 +64,7 @@
                 request.account());
         if (judgement == CrashJudgement.SUSPECT) {
             await(appends.append(new CrashSuspected(request.fingerprint(), group)), RECORD_WAIT);
+            await(appends.spread(), SPREAD_WAIT);
         }
     }
 
--- a/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
+++ b/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
@@ -178,6 +178,16 @@
         assertThat(crashed).isEqualTo(2);
     }
 
+    @Test
+    void aRequestThatCrashesEnginesIsKnownToTheNextEntryAtOnce() throws Exception {
+        bed.chat(0, "bad " + EngineStandin.CRASH_MARK, 3, false);
+        bed.chat(1, "bad " + EngineStandin.CRASH_MARK, 3, false);
+        HttpResponse<String> third = bed.chat(2, "bad " + EngineStandin.CRASH_MARK, 3, false);
+        assertThat(third.statusCode()).isEqualTo(422);
+        long crashed = bed.engines.stream().filter(e -> !answers(e)).count();
+        assertThat(crashed).isEqualTo(2);
+    }
+
     private boolean answers(EngineStandin e) {
         try {
             return bed.get("http://127.0.0.1:" + e.port() + "/status", "").statusCode() == 200;
