--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -387,7 +387,7 @@
     }
 
     /** Takes part in nothing new, serves what callers still send, and ends before the process is killed. */
-    private void stop() {
+    void stop() {
         Moment begun = clock.now();
         stopping.begin(begun);
         log.write("stop", "told to stop", "active", context.active().size());
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTests.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.baobabspindle.core.fleet.AccountPolicy;
@@ -303,6 +304,52 @@
         }
     }
 
+    @Nested
+    class GracefulStop {
+        private Thread stopInBackground() throws InterruptedException {
+            Thread stop = new Thread(node::stop, "stop-in-test");
+            stop.start();
+            await(() -> status(platform.readiness()) == 503);
+            return stop;
+        }
+
+        @Test
+        void callersThatStillComeAreServedAndToldToGo() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            stopInBackground();
+            HttpResponse<String> answer = post("/unsafe/x");
+            assertThat(answer.body()).isEqualTo("done");
+            assertThat(answer.headers().firstValue("Connection")).hasValue("close");
+        }
+
+        @Test
+        void aStreamInProgressEndsWhole() throws Exception {
+            start((request, out, socket) -> {
+                RawBackend.write(out, String.format(EVENTS_HEAD, "r1") + chunk(event(1)));
+                Thread.sleep(800);
+                RawBackend.write(out, chunk(event(2)) + "0\r\n\r\n");
+            });
+            CompletableFuture<HttpResponse<String>> answer = http.sendAsync(
+                    request("/stream/x")
+                            .POST(HttpRequest.BodyPublishers.noBody())
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            await(() -> !backends.get(0).requests().isEmpty());
+            stopInBackground();
+            assertThat(answer.join().body()).isEqualTo(event(1) + event(2));
+        }
+
+        @Test
+        void requestsThatCouldNotBeFinishedAreRefused() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            Thread stop = stopInBackground();
+            Thread.sleep(1_550);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(503);
+            stop.join(2_000);
+            assertThat(stop.isAlive()).isFalse();
+        }
+    }
+
     @Nested
     class Time {
         @Test
@@ -314,7 +361,9 @@
                 caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
                 await(() -> !backends.get(0).requests().isEmpty());
             }
+            long left = System.nanoTime();
             await(() -> backends.get(0).closedByCaller() == 1);
+            assertThat(Duration.ofNanos(System.nanoTime() - left)).isLessThan(Duration.ofMillis(500));
         }
 
         @Test
