--- a/entry/src/main/java/org/baobabspindle/gateway/RunnerCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -14,7 +14,7 @@
 import org.eclipse.jetty.http.HttpFields;
 
 /** One request sent to a backend server, and what came back. Every call of the listener is made on a worker. */
-final class RunnerCall implements Response.Listener {
+final class BackendCall implements Response.Listener {
     /** Headers that concern one connection only, or that the HTTP client sets itself. */
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
@@ -38,13 +38,13 @@
     /** Hears what comes of a call. */
     interface Listener {
         /** The status and headers of the answer have come. */
-        void headers(RunnerCall call, int status, HttpFields headers);
+        void headers(BackendCall call, int status, HttpFields headers);
 
         /** A piece of the body has come. */
-        void content(RunnerCall call, ByteBuffer bytes);
+        void content(BackendCall call, ByteBuffer bytes);
 
         /** The call is over. */
-        void ended(RunnerCall call, End end, String detail);
+        void ended(BackendCall call, End end, String detail);
     }
 
     /** How a call ended. */
@@ -78,7 +78,7 @@
      */
     record Stamped(long timeLeftMillis, String account, int priority, String lastEventId) {}
 
-    RunnerCall(
+    BackendCall(
             HttpClient client,
             Target target,
             Message message,
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -23,7 +23,7 @@
  * One request of a caller, from its arrival to its final answer. A request has at most one call to a backend server at a
  * time; what an older call still says is ignored.
  */
-final class CallerExchange implements RunnerCall.Listener {
+final class CallerExchange implements BackendCall.Listener {
     /** Targets that may refuse a request or be found unreachable before it is given up. */
     private static final int MAX_REFUSALS = 3;
 
@@ -41,15 +41,20 @@
     private TargetPool pool;
     private Moment deadline;
     private Optional<Dispatcher.Ticket> ticket = Optional.empty();
-    private Optional<RunnerCall> call = Optional.empty();
+    private Optional<BackendCall> call = Optional.empty();
     private Optional<Target> target = Optional.empty();
     private EventSplitter splitter = new EventSplitter();
+
+    // What the caller gets: the status and headers of the first call whose answer was passed on.
     private int status;
-    private int callStatus;
     private HttpFields answerHeaders = HttpFields.EMPTY;
+    private boolean committed;
+
+    // What the present call answers; a later call of a stream differs in its headers.
+    private int callStatus;
     private HttpFields callHeaders = HttpFields.EMPTY;
     private boolean callStarted;
-    private boolean committed;
+
     private boolean over;
     private boolean mayHaveRun;
     private int runs;
@@ -199,7 +204,7 @@
     /** Sends the request to a target; what could have changed while it waited is checked again. */
     private void run(Target t) {
         Moment now = context.clock().now();
-        RunnerCall next;
+        BackendCall next;
         synchronized (this) {
             ticket = Optional.empty();
             waitedMillis += now.steadyMillisSince(waitingSince);
@@ -216,7 +221,7 @@
             callStatus = 0;
             callHeaders = HttpFields.EMPTY;
             splitter = new EventSplitter();
-            next = new RunnerCall(context.client(), t, message(), stamped(now), context.names(), this);
+            next = new BackendCall(context.client(), t, message(), stamped(now), context.names(), this);
             call = Optional.of(next);
         }
         context.dispatcher().sent(t, streaming(), now);
@@ -231,8 +236,8 @@
         return judgeKey(configuration, now);
     }
 
-    private RunnerCall.Message message() {
-        return new RunnerCall.Message(
+    private BackendCall.Message message() {
+        return new BackendCall.Message(
                 request.getMethod(),
                 request.getHttpURI().getPathQuery(),
                 request.getHeaders().get("Host"),
@@ -240,10 +245,10 @@
                 ByteBuffer.wrap(body));
     }
 
-    private RunnerCall.Stamped stamped(Moment now) {
+    private BackendCall.Stamped stamped(Moment now) {
         String stated = request.getHeaders().get(context.names().lastEventId());
         String lastEvent = lastEventId >= 0 ? String.valueOf(lastEventId) : stated == null ? "" : stated;
-        return new RunnerCall.Stamped(
+        return new BackendCall.Stamped(
                 Math.max(1, deadline.steadyMillisSince(now)),
                 account().map(a -> a.account().value()).orElse(""),
                 -1,
@@ -255,7 +260,7 @@
     }
 
     @Override
-    public void headers(RunnerCall from, int newStatus, HttpFields headers) {
+    public void headers(BackendCall from, int newStatus, HttpFields headers) {
         synchronized (this) {
             if (stale(from)) {
                 return;
@@ -270,12 +275,12 @@
         }
     }
 
-    private boolean stale(RunnerCall from) {
+    private boolean stale(BackendCall from) {
         return over || !call.equals(Optional.of(from));
     }
 
     @Override
-    public void content(RunnerCall from, ByteBuffer bytes) {
+    public void content(BackendCall from, ByteBuffer bytes) {
         Moment now = context.clock().now();
         synchronized (this) {
             if (stale(from)) {
@@ -331,7 +336,7 @@
     }
 
     @Override
-    public void ended(RunnerCall from, RunnerCall.End end, String detail) {
+    public void ended(BackendCall from, BackendCall.End end, String detail) {
         Moment now = context.clock().now();
         Next next;
         Target t;
@@ -361,29 +366,29 @@
         SEEK
     }
 
-    private Dispatcher.Verdict verdict(RunnerCall.End end) {
+    private Dispatcher.Verdict verdict(BackendCall.End end) {
         if (over) {
             return Dispatcher.Verdict.NEUTRAL;
         }
-        boolean sound = end == RunnerCall.End.COMPLETE && callStatus < 500;
+        boolean sound = end == BackendCall.End.COMPLETE && callStatus < 500;
         return sound ? Dispatcher.Verdict.SOUND : Dispatcher.Verdict.FAILED;
     }
 
-    private Next next(RunnerCall.End end, String detail, Moment now) {
-        if (end == RunnerCall.End.COMPLETE && refusedByServer()) {
+    private Next next(BackendCall.End end, String detail, Moment now) {
+        if (end == BackendCall.End.COMPLETE && refusedByServer()) {
             refusals++;
             return again(Refusal.NOT_RUN, true, "the backend server did not run it", now);
         }
-        if (end == RunnerCall.End.NOT_SENT) {
+        if (end == BackendCall.End.NOT_SENT) {
             refusals++;
             return again(Refusal.NOT_RUN, false, detail, now);
         }
         runs++;
         mayHaveRun = true;
-        if (end == RunnerCall.End.COMPLETE && answerable()) {
+        if (end == BackendCall.End.COMPLETE && answerable()) {
             return answer(now);
         }
-        String why = end == RunnerCall.End.COMPLETE ? "status " + callStatus + " is not the whole answer" : detail;
+        String why = end == BackendCall.End.COMPLETE ? "status " + callStatus + " is not the whole answer" : detail;
         return route.orElseThrow().repeatable()
                 ? again(Refusal.BROKEN, true, why, now)
                 : giveUp(Refusal.BROKEN, why, now);
@@ -523,7 +528,7 @@
 
     /** Moves the request elsewhere if it runs at a target that serves no more. */
     void targetLost(String key) {
-        RunnerCall lost;
+        BackendCall lost;
         synchronized (this) {
             if (over
                     || call.isEmpty()
