Streams are refused sooner by an entry that stops; an answer before the body was read ends its connection visibly

Cause: a 401 is answered before the body is read, and the server then ends the connection without saying so, unless the body happens to be there. The new test fails without the mend.

--- a/entry/src/main/java/org/baobabspindle/caller/HttpExchange.java
+++ b/entry/src/main/java/org/baobabspindle/caller/HttpExchange.java
@@ -18,6 +18,7 @@
 
     private final Request request;
     private final Response response;
+    private boolean bodyRead;
 
     /**
      * Creates an exchange.
@@ -99,6 +100,7 @@
             if (bytes.length > maxBytes) {
                 throw new TooLargeException(maxBytes);
             }
+            bodyRead = true;
             return new String(bytes, StandardCharsets.UTF_8);
         }
     }
@@ -152,6 +154,11 @@
         }
     }
 
+    private boolean hasBody() {
+        return request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING)
+                || request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > 0;
+    }
+
     /**
      * Starts an answer of unknown length. Closing the stream ends the answer.
      *
@@ -162,6 +169,10 @@
     public OutputStream begin(int status, String contentType) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
+        if (!bodyRead && hasBody()) {
+            // The server ends a connection whose request was not read; the caller must not send another one on it.
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        }
         return Content.Sink.asOutputStream(response);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -111,7 +111,7 @@
         }
         deadline = receivedAt.plus(timeAllowed(route.get()));
         pool = pool(configuration, route.get());
-        if (context.stopping().refusesNew(now)) {
+        if (context.stopping().refusesNew(streaming(), now)) {
             return Optional.of(Refusal.STOPPING);
         }
         Duration wait = context.dispatcher().predictedWait(pool, context.entries(), now);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -398,7 +398,7 @@
         try {
             while (clock.now().since(begun).compareTo(most) < 0) {
                 Moment now = clock.now();
-                if (!context.active().isEmpty() || !stopping.refusesNew(now)) {
+                if (!context.active().isEmpty() || !stopping.refusesNew(false, now)) {
                     lastActive = now;
                 }
                 if (now.since(lastActive).compareTo(QUIET_BEFORE_EXIT) > 0) {
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTests.java
@@ -339,6 +339,15 @@
             assertThat(answer.join().body()).isEqualTo(event(1) + event(2));
         }
 
+        @Test
+        void streamsAreRefusedSoonerThanPlainRequests() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            stopInBackground();
+            Thread.sleep(800);
+            assertThat(post("/stream/x").statusCode()).isEqualTo(503);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+        }
+
         @Test
         void requestsThatCouldNotBeFinishedAreRefused() throws Exception {
             start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
--- a/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
+++ b/entry/src/test/java/org/baobabspindle/node/WholePathTests.java
@@ -2,7 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.net.URI;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -198,6 +203,24 @@
         }
     }
 
+    @Test
+    void anAnswerBeforeTheBodyWasReadSaysThatTheConnectionEnds() throws Exception {
+        URI url = URI.create(bed.url(0));
+        try (Socket socket = new Socket(url.getHost(), url.getPort())) {
+            String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer nobody\r\n"
+                    + "Content-Length: 2\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            List<String> lines = new ArrayList<>();
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                lines.add(line);
+            }
+            assertThat(lines.get(0)).contains("401");
+            assertThat(lines).contains("Connection: close");
+        }
+    }
+
     @Test
     void aRequestOfACallerWhoMayNotIsRefusedAndSaysSo() throws Exception {
         String url = bed.url(0) + "/v1/chat/completions";
