--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -67,7 +67,10 @@
 
     private static final FeedLoop.Pace CONFIGURATION_PACE =
             new FeedLoop.Pace(Duration.ofMillis(1_500), Duration.ofMillis(100));
-    private static final FeedLoop.Pace SERVERS_PACE = new FeedLoop.Pace(Duration.ofSeconds(10), Duration.ofMillis(150));
+
+    /** A read that the store leaves unanswered is over with its time-out within three seconds; servers leave in between. */
+    static final FeedLoop.Pace SERVERS_PACE = new FeedLoop.Pace(Duration.ofMillis(1_200), Duration.ofMillis(150));
+
     private static final FeedLoop.Pace ENTRIES_PACE = new FeedLoop.Pace(Duration.ofSeconds(15), Duration.ofMillis(300));
 
     private final GatewayClock clock = new GatewayClock();
