--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -242,7 +242,10 @@
 
             @Override
             public void returned() {
-                fleet.storeReturned(clock.now());
+                // Another feed may be read again seconds later; the time for servers to return counts from their own.
+                if (feed == Feed.BACKEND_SERVERS) {
+                    fleet.storeReturned(clock.now());
+                }
             }
         };
         new FeedLoop(store, feed, pace, loopSink, clock, timer, log).start();
