--- a/entry/src/main/java/org/baobabspindle/peer/PeerClient.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerClient.java
@@ -21,12 +21,15 @@
 public final class PeerClient implements AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
+    /** The time in which the other side must send its challenge; the same as it gives for the proof. */
+    private static final Duration PROOF_TIMEOUT = Duration.ofSeconds(2);
+
     private final Incarnation self;
     private final Function<PeerAddress, PeerSecret> secrets;
     private final Executor executor;
     private final PeerTraffic traffic;
     private final ClientConnector connector = new ClientConnector();
-    private final Map<PeerAddress, CompletableFuture<DialedConnection>> connections = new ConcurrentHashMap<>();
+    private final Map<PeerAddress, PeerLink> links = new ConcurrentHashMap<>();
 
     /**
      * Creates a client for entries that share one secret.
@@ -66,7 +69,8 @@
     }
 
     /**
-     * Asks an entry. A connection on which an answer stays out is closed, because it may have gone silent for good.
+     * Asks an entry. A connection on which an answer stays out is not used for further questions, because it may have gone
+     * silent for good; questions that still wait on it are not affected.
      *
      * @param address where it listens
      * @param ask the question
@@ -75,46 +79,34 @@
      *     {@link java.io.IOException} or {@link java.util.concurrent.TimeoutException}
      */
     public CompletableFuture<PeerMessage> ask(PeerAddress address, PeerMessage ask, Duration timeout) {
-        CompletableFuture<DialedConnection> connection = connection(address);
-        return connection
+        PeerLink link = links.compute(address, (a, known) -> known != null && known.begin() ? known : dial(a));
+        return link.opened()
                 .thenCompose(c -> c.ask(ask, traffic))
                 .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .whenComplete((answer, failure) -> {
                     if (failure instanceof TimeoutException) {
-                        forget(address, connection);
+                        links.remove(address, link);
+                        link.retire();
                     }
+                    link.end();
                 });
     }
 
     /**
-     * Closes the connection to an entry, if there is one.
+     * Uses the connection to an entry, if there is one, for no further questions.
      *
      * @param address where it listens
      */
     public void disconnect(PeerAddress address) {
-        CompletableFuture<DialedConnection> connection = connections.get(address);
-        if (connection != null) {
-            forget(address, connection);
+        PeerLink link = links.remove(address);
+        if (link != null) {
+            link.retire();
         }
     }
 
-    private void forget(PeerAddress address, CompletableFuture<DialedConnection> connection) {
-        connections.remove(address, connection);
-        connection.thenAccept(DialedConnection::close);
-        connection.completeExceptionally(new PeerUnreachableException("no connection to " + address, null));
-    }
-
-    private CompletableFuture<DialedConnection> connection(PeerAddress address) {
-        return connections.compute(address, (a, known) -> {
-            boolean usable = known != null
-                    && !known.isCompletedExceptionally()
-                    && !(known.isDone() && known.join().closed());
-            return usable ? known : open(a);
-        });
-    }
-
-    private CompletableFuture<DialedConnection> open(PeerAddress address) {
-        CompletableFuture<DialedConnection> opened = new CompletableFuture<>();
+    private PeerLink dial(PeerAddress address) {
+        PeerLink link = new PeerLink();
+        link.begin();
         Map<String, Object> context = new HashMap<>();
         ClientConnectionFactory factory =
                 (endPoint, c) -> new DialedConnection(endPoint, executor, self, secrets.apply(address));
@@ -122,28 +114,33 @@
         context.put(Transport.class.getName(), Transport.TCP_IP);
         context.put(
                 ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY,
-                Promise.<Connection>from(
-                        c -> ((DialedConnection) c).proven().whenComplete((p, e) -> settle(opened, address, p, e)),
-                        e -> settle(opened, address, null, e)));
+                Promise.<Connection>from(c -> awaitProof(link, address, (DialedConnection) c), e -> link.opened()
+                        .completeExceptionally(unreachable(address, e))));
         connector.connect(new InetSocketAddress(address.host(), address.port()), context);
-        return opened;
+        return link;
     }
 
-    private static void settle(
-            CompletableFuture<DialedConnection> opened, PeerAddress address, DialedConnection c, Throwable failure) {
-        if (c != null) {
-            if (!opened.complete(c)) {
-                c.close();
-            }
-            return;
-        }
-        opened.completeExceptionally(
-                new PeerUnreachableException("no connection to " + address + ": " + failure.getMessage(), failure));
+    private static void awaitProof(PeerLink link, PeerAddress address, DialedConnection connection) {
+        connection
+                .proven()
+                .orTimeout(PROOF_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((proven, failure) -> {
+                    if (failure == null) {
+                        link.opened().complete(connection);
+                        return;
+                    }
+                    connection.close();
+                    link.opened().completeExceptionally(unreachable(address, failure));
+                });
+    }
+
+    private static PeerUnreachableException unreachable(PeerAddress address, Throwable cause) {
+        return new PeerUnreachableException("no connection to " + address + ": " + cause.getMessage(), cause);
     }
 
     @Override
     public void close() {
-        connections.values().forEach(f -> f.thenAccept(DialedConnection::close));
+        links.values().forEach(PeerLink::close);
         try {
             connector.stop();
         } catch (Exception e) {
