--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -43,23 +43,11 @@
     /** Before the first request, groups wait this long for further engines, which start at about the same time. */
     private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
 
-    /** Loads that staging leaves for groups; the members of the largest one. */
-    private static final int LOADS_KEPT_FOR_GROUPS = 4;
-
-    /** The engines that may be joining while others stage; the members of one small group. */
-    private static final int MOST_JOINING_BESIDE_STAGING = 2;
-
-    /** Loads share the weight store; one that takes this many times its usual time has failed. */
-    private static final int STAGING_PATIENCE = 3;
-
-    /** How long a host that stages is taken to need the weight store; a load of the larger models. */
-    private static final Duration STAGING_TIME = Duration.ofSeconds(16);
-
     private final Map<GroupKey, Forming> forming = new HashMap<>();
     private final Map<GroupKey, Moment> released = new HashMap<>();
     private final Map<GroupKey, Moment> closing = new HashMap<>();
     private final Map<OrderKey, Moment> ordered = new HashMap<>();
-    private final Map<BackendServer.Lifetime, Staging> staging = new HashMap<>();
+    private final HostStaging staging = new HostStaging();
     private final Conversions conversions = new Conversions();
     private Set<BackendServer.Lifetime> known = Set.of();
     private Moment lastArrival;
@@ -67,8 +55,6 @@
     /** Creates decisions that know of no group. */
     public Formation() {}
 
-    private record Staging(String model, Moment since) {}
-
     private record Forming(GroupPlanner.Plan plan, Moment startedAt) {}
 
     private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {}
@@ -136,8 +122,13 @@
         }
         convert(view, now, free, groups, actions);
         int loads = form(view, now, free, groups, actions);
-        loads = stageFree(view, now, loads, free, groups, actions);
-        stage(view, now, loads, bound, actions);
+        if (view.beforeRequests()) {
+            actions.addAll(staging.ofServingHosts(view, bound, loads, now));
+        } else {
+            List<FormationAction> ofFree = staging.ofFreeEngines(view, free.values(), groups, loads, now);
+            actions.addAll(ofFree);
+            actions.addAll(staging.ofServingHosts(view, bound, loads - ofFree.size(), now));
+        }
         return actions;
     }
 
@@ -387,107 +378,6 @@
         return loads;
     }
 
-    /** Has free engines stage what their domain lacks for a group. */
-    private int stageFree(
-            View view,
-            Moment now,
-            int loads,
-            Map<FabricDomain, List<BackendServer>> free,
-            Map<String, Integer> groups,
-            List<FormationAction> actions) {
-        if (view.beforeRequests()) {
-            return loads;
-        }
-        int left = loads;
-        for (List<BackendServer> engines : free.values()) {
-            for (StagingPlanner.Stage s : StagingPlanner.plan(
-                    view.profile(), engines, groups, view.demand(), id -> stagingOf(id, view.profile(), now))) {
-                if (left > 0) {
-                    staging.put(s.server().lifetime(), new Staging(s.model().name(), now));
-                    GroupKey none = new GroupKey("none", 0);
-                    actions.add(new FormationAction.Stage(
-                            s.server(), none, s.model().name(), "its domain lacks the model"));
-                    left--;
-                }
-            }
-        }
-        return left;
-    }
-
-    /** Returns the model that an engine is staging. */
-    private Optional<String> stagingOf(BackendServer.Lifetime engine, EngineProfile profile, Moment now) {
-        Staging s = staging.get(engine);
-        if (s == null) {
-            return Optional.empty();
-        }
-        Duration patience = profile.model(s.model())
-                .map(m -> m.loadTime().multipliedBy(STAGING_PATIENCE))
-                .orElse(Duration.ZERO);
-        return now.isBefore(s.since().plus(patience)) ? Optional.of(s.model()) : Optional.empty();
-    }
-
-    /**
-     * Has engines of serving groups stage a model that they do not hold, so that the engines that a lost member leaves
-     * behind can join a group of either model within seconds.
-     */
-    private void stage(View view, Moment now, int loadsLeft, Set<BackendServer> bound, List<FormationAction> actions) {
-        int left = view.beforeRequests() ? loadsLeft : spareLoads(view, loadsLeft, now);
-        for (BackendServer s : bound) {
-            if (left <= 0) {
-                return;
-            }
-            boolean own =
-                    s.domain().isPresent() && view.ownDomains().test(s.domain().get());
-            boolean settled = s.model().isPresent()
-                    && s.group().isPresent()
-                    && s.group().get().state() != MemberState.JOINING;
-            if (!own || !settled || !s.ready() || view.lost().contains(s.lifetime())) {
-                continue;
-            }
-            Optional<EngineModel> model = otherModel(view.profile(), s);
-            if (model.isPresent() && mayStage(s, model.get(), view, now)) {
-                actions.add(new FormationAction.Stage(
-                        s, s.group().get().key(), model.get().name(), "the host holds no other model"));
-                left--;
-            }
-        }
-    }
-
-    /** Staging takes bandwidth of the weight store from engines without weights, so it waits until there are none. */
-    private int spareLoads(View view, int loadsLeft, Moment now) {
-        long joining = view.engines().stream()
-                .filter(s ->
-                        s.group().filter(m -> m.state() == MemberState.JOINING).isPresent())
-                .count();
-        long underWay = staging.values().stream()
-                .filter(x -> now.isBefore(x.since().plus(STAGING_TIME)))
-                .count();
-        boolean emptyOnes = view.engines().stream()
-                .anyMatch(s -> s.model().isEmpty() && s.staged().isEmpty());
-        if (emptyOnes || joining > MOST_JOINING_BESIDE_STAGING || underWay > 0) {
-            return 0;
-        }
-        return Math.min(1, loadsLeft - LOADS_KEPT_FOR_GROUPS);
-    }
-
-    /** Returns a model to stage: any that the engine does not hold, unless its host holds such a one already. */
-    private static Optional<EngineModel> otherModel(EngineProfile profile, BackendServer s) {
-        if (s.staged().isPresent() && !s.staged().equals(s.model())) {
-            return Optional.empty();
-        }
-        return profile.models().stream()
-                .filter(m -> !s.model().equals(Optional.of(m.name())))
-                .findFirst();
-    }
-
-    private boolean mayStage(BackendServer s, EngineModel model, View view, Moment now) {
-        if (stagingOf(s.lifetime(), view.profile(), now).isPresent()) {
-            return false;
-        }
-        staging.put(s.lifetime(), new Staging(model.name(), now));
-        return true;
-    }
-
     /**
      * Counts the loads from the weight store that a plan begins.
      *
@@ -560,7 +450,7 @@
             lastArrival = now;
         }
         known = present;
-        staging.keySet().retainAll(present);
+        staging.retain(present);
     }
 
     private void expire(Moment now) {
