--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -37,9 +37,6 @@
     /** How long a head that left the list without notice may finish what it has; most requests are over by then. */
     private static final Duration GONE_PATIENCE = Duration.ofSeconds(3);
 
-    /** The time that a join may take beyond the one planned before the group is given up; loads share the store. */
-    private static final Duration JOIN_SLACK = Duration.ofSeconds(3);
-
     /** Before the first request, groups wait this long for further engines, which start at about the same time. */
     private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
 
@@ -55,8 +52,6 @@
     /** Creates decisions that know of no group. */
     public Formation() {}
 
-    private record Forming(GroupPlanner.Plan plan, Moment startedAt) {}
-
     private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {}
 
     /**
@@ -79,7 +74,17 @@
             ModelDemand demand,
             EpochSource epochs,
             int loadsAllowed,
-            boolean beforeRequests) {}
+            boolean beforeRequests) {
+        /** Tells whether an engine takes work and answers. */
+        boolean sound(BackendServer s) {
+            return s.ready() && !lost.contains(s.lifetime());
+        }
+
+        /** Tells whether this keeper decides for an engine. */
+        boolean owns(BackendServer s) {
+            return s.domain().isPresent() && ownDomains.test(s.domain().get());
+        }
+    }
 
     /** Gives out epochs, each greater than all before. */
     public interface EpochSource {
@@ -113,10 +118,7 @@
         }
         countUnseen(view, now, groups, bound, actions);
         for (BackendServer s : view.engines()) {
-            boolean usable = s.ready() && !bound.contains(s) && !view.lost().contains(s.lifetime());
-            if (usable
-                    && s.domain().isPresent()
-                    && view.ownDomains().test(s.domain().get())) {
+            if (view.sound(s) && view.owns(s) && !bound.contains(s)) {
                 free.computeIfAbsent(s.domain().get(), d -> new ArrayList<>()).add(s);
             }
         }
@@ -137,12 +139,9 @@
         if (released.containsKey(g.key())) {
             return false;
         }
-        boolean own = g.members().values().stream()
-                .allMatch(s -> s.domain().isPresent()
-                        && view.ownDomains().test(s.domain().get()));
+        boolean own = g.members().values().stream().allMatch(view::owns);
         Optional<EngineModel> model = g.model().or(() -> plannedModel(g.key())).flatMap(view.profile()::model);
-        Predicate<BackendServer> sound = s -> s.ready() && !view.lost().contains(s.lifetime());
-        if (model.isPresent() && g.whole(model.get().groupSize(), sound)) {
+        if (model.isPresent() && g.whole(model.get().groupSize(), view::sound)) {
             if (own) {
                 open(g, now, actions);
             }
@@ -152,7 +151,7 @@
             return true;
         }
         Forming f = forming.get(g.key());
-        if (f != null && stillForming(f, g, view, now)) {
+        if (f != null && f.stillPossible(g.key(), view, now)) {
             orderJoins(f.plan(), g.key(), view, now, "the join is not yet reported", actions);
             return true;
         }
@@ -177,23 +176,6 @@
         }
     }
 
-    private static boolean stillForming(Forming f, GroupView g, View view, Moment now) {
-        for (BackendServer m : f.plan().members()) {
-            Optional<BackendServer> seen = view.engines().stream()
-                    .filter(s -> s.lifetime().equals(m.lifetime()))
-                    .findFirst();
-            Optional<GroupKey> current = seen.flatMap(BackendServer::group).map(GroupMembership::key);
-            boolean elsewhere = current.isPresent()
-                    && !current.equals(Optional.of(g.key()))
-                    && !current.equals(m.group().map(GroupMembership::key));
-            if (seen.isEmpty() || !seen.get().ready() || view.lost().contains(m.lifetime()) || elsewhere) {
-                return false;
-            }
-        }
-        Duration patience = f.plan().readyAfter().multipliedBy(2).plus(JOIN_SLACK);
-        return now.isBefore(f.startedAt().plus(patience));
-    }
-
     /** Returns whether the members stay bound because the head may still hold work. */
     private boolean dissolve(GroupView g, View view, Moment now, List<FormationAction> actions) {
         forming.remove(g.key());
@@ -264,9 +246,8 @@
         view.engines().forEach(s -> s.group().ifPresent(m -> seen.add(m.key())));
         for (Map.Entry<GroupKey, Forming> e : List.copyOf(forming.entrySet())) {
             GroupPlanner.Plan plan = e.getValue().plan();
-            GroupView none = new GroupView(e.getKey(), "", new TreeMap<>());
             if (!seen.contains(e.getKey())) {
-                if (!stillForming(e.getValue(), none, view, now)) {
+                if (!e.getValue().stillPossible(e.getKey(), view, now)) {
                     forming.remove(e.getKey());
                     continue;
                 }
@@ -296,7 +277,7 @@
             return;
         }
         Optional<Rebalancer.Conversion> chosen =
-                Rebalancer.choose(view.profile(), domains(view, free), groups, view.demand());
+                Rebalancer.choose(view.profile(), Rebalancer.DomainView.all(view, free), groups, view.demand());
         if (chosen.isEmpty() || !view.ownDomains().test(chosen.get().domain())) {
             return;
         }
@@ -314,23 +295,6 @@
         }
     }
 
-    private static List<Rebalancer.DomainView> domains(View view, Map<FabricDomain, List<BackendServer>> free) {
-        Map<FabricDomain, Rebalancer.DomainView> domains = new TreeMap<>();
-        Predicate<BackendServer> sound = s -> s.ready() && !view.lost().contains(s.lifetime());
-        for (GroupView g : GroupView.all(view.engines())) {
-            Optional<EngineModel> model = g.model().flatMap(view.profile()::model);
-            Optional<FabricDomain> domain = g.head().flatMap(BackendServer::domain);
-            if (model.isPresent() && domain.isPresent() && g.whole(model.get().groupSize(), sound)) {
-                domains.computeIfAbsent(
-                                domain.get(),
-                                d -> new Rebalancer.DomainView(d, free.getOrDefault(d, List.of()), new ArrayList<>()))
-                        .serving()
-                        .add(g);
-            }
-        }
-        return List.copyOf(domains.values());
-    }
-
     /** Forms groups from free engines and returns the loads that may still begin. */
     private int form(
             View view,
--- a/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
@@ -85,14 +85,8 @@
     }
 
     private static boolean settled(Formation.View view, BackendServer s) {
-        boolean own =
-                s.domain().isPresent() && view.ownDomains().test(s.domain().get());
         boolean joined = s.group().filter(m -> m.state() != MemberState.JOINING).isPresent();
-        return own
-                && joined
-                && s.model().isPresent()
-                && s.ready()
-                && !view.lost().contains(s.lifetime());
+        return view.owns(s) && view.sound(s) && joined && s.model().isPresent();
     }
 
     /** Staging takes bandwidth of the weight store from engines without weights, so it waits until there are none. */
--- a/core/src/main/java/org/baobabspindle/core/formation/Rebalancer.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Rebalancer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
 import org.baobabspindle.core.fleet.EngineProfile;
@@ -32,7 +33,26 @@
      * @param free its free engines
      * @param serving its serving groups
      */
-    record DomainView(FabricDomain domain, List<BackendServer> free, List<GroupView> serving) {}
+    record DomainView(FabricDomain domain, List<BackendServer> free, List<GroupView> serving) {
+        /** Returns the views of all domains that have serving groups. */
+        static List<DomainView> all(Formation.View view, Map<FabricDomain, List<BackendServer>> free) {
+            Map<FabricDomain, DomainView> domains = new TreeMap<>();
+            for (GroupView g : GroupView.all(view.engines())) {
+                Optional<EngineModel> model = g.model().flatMap(view.profile()::model);
+                Optional<FabricDomain> domain = g.head().flatMap(BackendServer::domain);
+                if (model.isPresent()
+                        && domain.isPresent()
+                        && g.whole(model.get().groupSize(), view::sound)) {
+                    domains.computeIfAbsent(
+                                    domain.get(),
+                                    d -> new DomainView(d, free.getOrDefault(d, List.of()), new ArrayList<>()))
+                            .serving()
+                            .add(g);
+                }
+            }
+            return List.copyOf(domains.values());
+        }
+    }
 
     /**
      * Groups to dissolve for another one.
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -0,0 +1,136 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.baobabspindle.core.dispatch.TargetPool;
+import org.baobabspindle.core.dispatch.WaitingLine;
+import org.baobabspindle.core.dispatch.WaitingPolicy;
+import org.baobabspindle.core.fleet.AccountPolicy;
+import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.fleet.Route;
+import org.baobabspindle.core.time.Moment;
+import org.eclipse.jetty.server.Request;
+
+/** Judges whether a request may be served: its route, its API key, and whether it can be served in time. */
+final class CallerAdmission {
+    /** Bounds a request until its route is known. */
+    private static final Duration TIME_WITHOUT_ROUTE = Duration.ofMinutes(1);
+
+    private final GatewayContext context;
+    private final Request request;
+    private final Moment receivedAt;
+    private final String apiKey;
+    private Optional<Route> route = Optional.empty();
+    private Optional<TargetPool> pool = Optional.empty();
+    private Moment deadline;
+
+    CallerAdmission(GatewayContext context, Request request, Moment receivedAt) {
+        this.context = context;
+        this.request = request;
+        this.receivedAt = receivedAt;
+        this.deadline = receivedAt.plus(TIME_WITHOUT_ROUTE);
+        String key = request.getHeaders().get(context.names().apiKey());
+        this.apiKey = key == null ? "" : key;
+    }
+
+    /** Judges a request whose body has been read; returns why it is refused, if it is. */
+    Optional<Refusal> judge(int bodyBytes, Moment now) {
+        Optional<FleetConfiguration> known = context.fleet().configuration();
+        if (known.isEmpty()) {
+            return Optional.of(Refusal.NOT_CONFIGURED);
+        }
+        FleetConfiguration configuration = known.get();
+        route = configuration.route(
+                Request.getServerName(request), request.getHttpURI().getPath());
+        if (route.isEmpty()) {
+            return Optional.of(denial(Refusal.NO_ROUTE, now));
+        }
+        if (bodyBytes > configuration.limits().maxBodyBytes()) {
+            return Optional.of(Refusal.TOO_LARGE);
+        }
+        Optional<Refusal> refusal = judgeKey(now);
+        if (refusal.isPresent()) {
+            return refusal;
+        }
+        deadline = receivedAt.plus(timeAllowed(route.get()));
+        pool = Optional.of(choosePool(configuration, route.get()));
+        if (context.stopping().refusesNew(streaming(), now)) {
+            return Optional.of(Refusal.STOPPING);
+        }
+        Duration wait = context.dispatcher().predictedWait(pool.get(), context.entries(), now);
+        boolean inVain = !now.plus(wait).isBefore(patience().late());
+        return inVain ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
+    }
+
+    /** Judges the API key by the configuration that is known now. */
+    Optional<Refusal> judgeKey(Moment now) {
+        FleetConfiguration configuration = context.fleet().configuration().orElseThrow();
+        if (!configuration.keysRequired() || route.orElseThrow().publicAccess()) {
+            return Optional.empty();
+        }
+        Optional<Duration> age = context.fleet().configurationAge(now);
+        if (age.isEmpty() || age.get().compareTo(context.keyLifetime()) > 0) {
+            return Optional.of(Refusal.KEYS_UNPROVEN);
+        }
+        return configuration.account(apiKey).isEmpty()
+                ? Optional.of(denial(Refusal.UNKNOWN_KEY, now))
+                : Optional.empty();
+    }
+
+    /** Says a final no only while the configuration is known to be recent; a newer one may allow the request. */
+    private Refusal denial(Refusal refusal, Moment now) {
+        boolean recent = context.fleet()
+                .configurationAge(now)
+                .filter(a -> a.compareTo(GatewayContext.DENIAL_AGE) <= 0)
+                .isPresent();
+        return recent ? refusal : Refusal.CONFIGURATION_STALE;
+    }
+
+    private Duration timeAllowed(Route r) {
+        long stated = request.getHeaders().getLongField(context.names().timeLeft());
+        Duration timeout = r.timeout();
+        return stated > 0 && stated < timeout.toMillis() ? Duration.ofMillis(stated) : timeout;
+    }
+
+    private TargetPool choosePool(FleetConfiguration configuration, Route r) {
+        String service = r.pickService(context.random());
+        boolean engines =
+                configuration.service(service).flatMap(s -> s.engine()).isPresent();
+        String model = request.getHeaders().get(context.names().model());
+        return new TargetPool(service, engines && model != null ? model : "");
+    }
+
+    Optional<Route> route() {
+        return route;
+    }
+
+    Optional<TargetPool> pool() {
+        return pool;
+    }
+
+    /** Returns when the final answer is due. */
+    Moment deadline() {
+        return deadline;
+    }
+
+    boolean streaming() {
+        return route.isPresent() && route.get().kind().streaming();
+    }
+
+    Optional<AccountPolicy> account() {
+        return context.fleet().configuration().flatMap(c -> c.account(apiKey));
+    }
+
+    /** Returns the rank of the request; that of its account goes before that of its route. */
+    int priority() {
+        Optional<AccountPolicy> account = account();
+        return account.isPresent() && account.get().priority().isPresent()
+                ? account.get().priority().getAsInt()
+                : route.orElseThrow().priority();
+    }
+
+    WaitingLine.Patience patience() {
+        Route r = route.orElseThrow();
+        return WaitingPolicy.patience(receivedAt, r.targetLatency(), timeAllowed(r));
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -9,9 +9,6 @@
 import org.baobabspindle.core.dispatch.Target;
 import org.baobabspindle.core.dispatch.TargetPool;
 import org.baobabspindle.core.dispatch.WaitingLine;
-import org.baobabspindle.core.dispatch.WaitingPolicy;
-import org.baobabspindle.core.fleet.AccountPolicy;
-import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Route;
 import org.baobabspindle.core.time.Moment;
 import org.eclipse.jetty.http.HttpFields;
@@ -31,15 +28,12 @@
     private final Request request;
     private final Response response;
     private final Moment receivedAt;
+    private final CallerAdmission admission;
     private final CallerStream out;
     private final Set<String> tried = new HashSet<>();
     private final ByteArrayOutputStream wholeBody = new ByteArrayOutputStream();
 
     private byte[] body = new byte[0];
-    private Optional<Route> route = Optional.empty();
-    private String apiKey = "";
-    private TargetPool pool;
-    private Moment deadline;
     private Optional<Dispatcher.Ticket> ticket = Optional.empty();
     private Optional<BackendCall> call = Optional.empty();
     private Optional<Target> target = Optional.empty();
@@ -70,7 +64,7 @@
         this.response = response;
         this.receivedAt = now;
         this.waitingSince = now;
-        this.deadline = now.plus(Duration.ofMinutes(1));
+        this.admission = new CallerAdmission(context, request, now);
         this.out = new CallerStream(response, callback, this::callerGone);
     }
 
@@ -78,10 +72,8 @@
     void begin(byte[] content, Moment now) {
         synchronized (this) {
             body = content;
-            Optional<Refusal> refusal = judge(now);
-            if (pool != null) {
-                context.dispatcher().requested(pool, now);
-            }
+            Optional<Refusal> refusal = admission.judge(content.length, now);
+            admission.pool().ifPresent(p -> context.dispatcher().requested(p, now));
             if (refusal.isPresent()) {
                 refuse(refusal.get(), "", now);
                 return;
@@ -90,75 +82,6 @@
         seek(now);
     }
 
-    private Optional<Refusal> judge(Moment now) {
-        if (context.fleet().configuration().isEmpty()) {
-            return Optional.of(Refusal.NOT_CONFIGURED);
-        }
-        FleetConfiguration configuration = context.fleet().configuration().get();
-        String host = Request.getServerName(request);
-        route = configuration.route(host, request.getHttpURI().getPath());
-        if (route.isEmpty()) {
-            return Optional.of(denial(Refusal.NO_ROUTE, now));
-        }
-        if (body.length > configuration.limits().maxBodyBytes()) {
-            return Optional.of(Refusal.TOO_LARGE);
-        }
-        String key = request.getHeaders().get(context.names().apiKey());
-        apiKey = key == null ? "" : key;
-        Optional<Refusal> refusal = judgeKey(configuration, now);
-        if (refusal.isPresent()) {
-            return refusal;
-        }
-        deadline = receivedAt.plus(timeAllowed(route.get()));
-        pool = pool(configuration, route.get());
-        if (context.stopping().refusesNew(streaming(), now)) {
-            return Optional.of(Refusal.STOPPING);
-        }
-        Duration wait = context.dispatcher().predictedWait(pool, context.entries(), now);
-        boolean inVain = !now.plus(wait).isBefore(patience().late());
-        return inVain ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
-    }
-
-    private Optional<Refusal> judgeKey(FleetConfiguration configuration, Moment now) {
-        if (!keyNeeded(configuration)) {
-            return Optional.empty();
-        }
-        Optional<Duration> age = context.fleet().configurationAge(now);
-        if (age.isEmpty() || age.get().compareTo(context.keyLifetime()) > 0) {
-            return Optional.of(Refusal.KEYS_UNPROVEN);
-        }
-        return configuration.account(apiKey).isEmpty()
-                ? Optional.of(denial(Refusal.UNKNOWN_KEY, now))
-                : Optional.empty();
-    }
-
-    /** Says a final no only while the configuration is known to be recent; a newer one may allow the request. */
-    private Refusal denial(Refusal refusal, Moment now) {
-        boolean recent = context.fleet()
-                .configurationAge(now)
-                .filter(a -> a.compareTo(GatewayContext.DENIAL_AGE) <= 0)
-                .isPresent();
-        return recent ? refusal : Refusal.CONFIGURATION_STALE;
-    }
-
-    private boolean keyNeeded(FleetConfiguration configuration) {
-        return configuration.keysRequired() && !route.orElseThrow().publicAccess();
-    }
-
-    private Duration timeAllowed(Route r) {
-        long stated = request.getHeaders().getLongField(context.names().timeLeft());
-        Duration timeout = r.timeout();
-        return stated > 0 && stated < timeout.toMillis() ? Duration.ofMillis(stated) : timeout;
-    }
-
-    private TargetPool pool(FleetConfiguration configuration, Route r) {
-        String service = r.pickService(context.random());
-        boolean engines =
-                configuration.service(service).flatMap(s -> s.engine()).isPresent();
-        String model = request.getHeaders().get(context.names().model());
-        return new TargetPool(service, engines && model != null ? model : "");
-    }
-
     /** Waits for a target. */
     private void seek(Moment now) {
         Dispatcher.Ticket t;
@@ -168,9 +91,9 @@
             }
             waitingSince = now;
             t = new Dispatcher.Ticket(
-                    pool,
-                    committed ? 0 : priority(),
-                    runs + refusals > 0 ? retryPatience(now) : patience(),
+                    admission.pool().orElseThrow(),
+                    committed ? 0 : admission.priority(),
+                    runs + refusals > 0 ? retryPatience(now) : admission.patience(),
                     tried,
                     this::run,
                     this::waitedInVain);
@@ -179,28 +102,13 @@
         context.dispatcher().submit(t, now);
     }
 
-    private WaitingLine.Patience patience() {
-        Route r = route.orElseThrow();
-        return WaitingPolicy.patience(receivedAt, r.targetLatency(), timeAllowed(r));
-    }
-
     /** A request that goes on elsewhere has been paid for in part; it waits for half of the time it has left. */
     private WaitingLine.Patience retryPatience(Moment now) {
-        Moment until = now.plus(Duration.ofMillis(Math.max(0, deadline.steadyMillisSince(now) / 2)));
+        Moment until =
+                now.plus(Duration.ofMillis(Math.max(0, admission.deadline().steadyMillisSince(now) / 2)));
         return new WaitingLine.Patience(until, until);
     }
 
-    private int priority() {
-        return account()
-                .flatMap(
-                        a -> a.priority().isPresent() ? Optional.of(a.priority().getAsInt()) : Optional.empty())
-                .orElse(route.orElseThrow().priority());
-    }
-
-    private Optional<AccountPolicy> account() {
-        return context.fleet().configuration().flatMap(c -> c.account(apiKey));
-    }
-
     /** Sends the request to a target; what could have changed while it waited is checked again. */
     private void run(Target t) {
         Moment now = context.clock().now();
@@ -210,7 +118,8 @@
             waitedMillis += now.steadyMillisSince(waitingSince);
             Optional<Refusal> refusal = over ? Optional.of(Refusal.NOT_RUN) : recheck(now);
             if (refusal.isPresent()) {
-                context.dispatcher().ended(pool, t, false, false, Dispatcher.Verdict.NEUTRAL, now);
+                context.dispatcher()
+                        .ended(admission.pool().orElseThrow(), t, false, false, Dispatcher.Verdict.NEUTRAL, now);
                 refuse(refusal.get(), "while it waited", now);
                 return;
             }
@@ -224,16 +133,15 @@
             next = new BackendCall(context.client(), t, message(), stamped(now), context.names(), this);
             call = Optional.of(next);
         }
-        context.dispatcher().sent(t, streaming(), now);
+        context.dispatcher().sent(t, admission.streaming(), now);
         next.send();
     }
 
     private Optional<Refusal> recheck(Moment now) {
-        FleetConfiguration configuration = context.fleet().configuration().orElseThrow();
-        if (!now.isBefore(deadline)) {
+        if (!now.isBefore(admission.deadline())) {
             return Optional.of(mayHaveRun ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY);
         }
-        return judgeKey(configuration, now);
+        return admission.judgeKey(now);
     }
 
     private BackendCall.Message message() {
@@ -249,16 +157,12 @@
         String stated = request.getHeaders().get(context.names().lastEventId());
         String lastEvent = lastEventId >= 0 ? String.valueOf(lastEventId) : stated == null ? "" : stated;
         return new BackendCall.Stamped(
-                Math.max(1, deadline.steadyMillisSince(now)),
-                account().map(a -> a.account().value()).orElse(""),
+                Math.max(1, admission.deadline().steadyMillisSince(now)),
+                admission.account().map(a -> a.account().value()).orElse(""),
                 -1,
                 lastEvent);
     }
 
-    private boolean streaming() {
-        return route.isPresent() && route.get().kind().streaming();
-    }
-
     @Override
     public void headers(BackendCall from, int newStatus, HttpFields headers) {
         synchronized (this) {
@@ -286,7 +190,7 @@
             if (stale(from)) {
                 return;
             }
-            if (!streaming() || callStatus != 200) {
+            if (!admission.streaming() || callStatus != 200) {
                 byte[] piece = new byte[bytes.remaining()];
                 bytes.get(piece);
                 wholeBody.writeBytes(piece);
@@ -353,14 +257,19 @@
             next = over ? Next.NOTHING : next(end, detail, now);
         }
         if (verdict == Dispatcher.Verdict.SOUND) {
-            context.dispatcher().served(pool, Duration.ofMillis(now.steadyMillisSince(sentAt)));
+            context.dispatcher()
+                    .served(admission.pool().orElseThrow(), Duration.ofMillis(now.steadyMillisSince(sentAt)));
         }
-        context.dispatcher().ended(pool, t, streaming(), started, verdict, now);
+        context.dispatcher().ended(admission.pool().orElseThrow(), t, admission.streaming(), started, verdict, now);
         if (next == Next.SEEK) {
             seek(now);
         }
     }
 
+    private String service() {
+        return admission.pool().orElseThrow().service();
+    }
+
     private enum Next {
         NOTHING,
         SEEK
@@ -389,7 +298,7 @@
             return answer(now);
         }
         String why = end == BackendCall.End.COMPLETE ? "status " + callStatus + " is not the whole answer" : detail;
-        return route.orElseThrow().repeatable()
+        return admission.route().orElseThrow().repeatable()
                 ? again(Refusal.BROKEN, true, why, now)
                 : giveUp(Refusal.BROKEN, why, now);
     }
@@ -399,35 +308,29 @@
     }
 
     private boolean answerable() {
-        boolean stream = streaming() && callStatus == 200;
+        boolean stream = admission.streaming() && callStatus == 200;
         boolean whole = stream ? !splitter.withinEvent() : !committed;
         return whole && callHeaders.contains(context.names().stamp());
     }
 
     /** Looks for another target if the request may still be sent, else gives up. */
     private Next again(Refusal otherwise, boolean budgeted, String why, Moment now) {
-        boolean allowed = runs < route.orElseThrow().maxAttempts()
+        boolean allowed = runs < admission.route().orElseThrow().maxAttempts()
                 && refusals < MAX_REFUSALS
-                && now.isBefore(deadline)
-                && (!budgeted || context.dispatcher().tryRetry(pool.service(), context.entries(), now));
+                && now.isBefore(admission.deadline())
+                && (!budgeted || context.dispatcher().tryRetry(service(), context.entries(), now));
         if (!allowed) {
             return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, why, now);
         }
-        context.log()
-                .write(
-                        "retry",
-                        why,
-                        "request",
-                        id(),
-                        "after",
-                        target.map(Target::key).orElse(""),
-                        "runs",
-                        runs,
-                        "lastEvent",
-                        lastEventId);
+        logRetry(why);
         return Next.SEEK;
     }
 
+    private void logRetry(String why) {
+        String after = target.map(Target::key).orElse("");
+        context.log().write("retry", why, "request", id(), "after", after, "runs", runs, "lastEvent", lastEventId);
+    }
+
     private Next giveUp(Refusal refusal, String why, Moment now) {
         refuse(refusal, why, now);
         return Next.NOTHING;
@@ -435,18 +338,19 @@
 
     private Next answer(Moment now) {
         boolean retryServerError = status >= 500
-                && route.orElseThrow().repeatable()
+                && admission.route().orElseThrow().repeatable()
                 && !committed
-                && runs < route.orElseThrow().maxAttempts()
-                && now.isBefore(deadline)
-                && context.dispatcher().tryRetry(pool.service(), context.entries(), now);
+                && runs < admission.route().orElseThrow().maxAttempts()
+                && now.isBefore(admission.deadline())
+                && context.dispatcher().tryRetry(service(), context.entries(), now);
         if (retryServerError) {
+            logRetry("the backend server answered with status " + status);
             return Next.SEEK;
         }
         over = true;
         if (!committed) {
             commit();
-            if (!streaming() || status != 200) {
+            if (!admission.streaming() || status != 200) {
                 response.getHeaders().put("Content-Length", wholeBody.size());
                 out.write(ByteBuffer.wrap(wholeBody.toByteArray()));
             }
@@ -514,7 +418,7 @@
             if (over) {
                 return;
             }
-            if (!now.isBefore(deadline)) {
+            if (!now.isBefore(admission.deadline())) {
                 boolean sent = mayHaveRun || call.isPresent();
                 refuse(sent ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY, "its time is over", now);
                 return;
@@ -546,41 +450,26 @@
 
     private void finished(String outcome, String why, int sentStatus, Moment now) {
         context.finished(this, outcome);
-        context.log()
-                .write(
-                        outcome,
-                        why,
-                        "request",
-                        id(),
-                        "status",
-                        sentStatus,
-                        "route",
-                        route.map(Route::name).orElse(""),
-                        "service",
-                        pool == null ? "" : pool.service(),
-                        "model",
-                        pool == null ? "" : pool.model(),
-                        "target",
-                        target.map(Target::key).orElse(""),
-                        "server",
-                        target.map(t -> t.server().id().value()).orElse(""),
-                        "runs",
-                        runs,
-                        "tried",
-                        tried.size(),
-                        "waitedMs",
-                        waitedMillis,
-                        "totalMs",
-                        now.steadyMillisSince(receivedAt),
-                        "version",
-                        context.fleet()
-                                .configuration()
-                                .map(FleetConfiguration::version)
-                                .orElse(-1L),
-                        "versionAgeMs",
-                        context.fleet()
-                                .configurationAge(now)
-                                .map(Duration::toMillis)
-                                .orElse(-1L));
+        Optional<TargetPool> pool = admission.pool();
+        Object[] inputs = {
+            "request", id(),
+            "status", sentStatus,
+            "route", admission.route().map(Route::name).orElse(""),
+            "service", pool.map(TargetPool::service).orElse(""),
+            "model", pool.map(TargetPool::model).orElse(""),
+            "target", target.map(Target::key).orElse(""),
+            "server", target.map(t -> t.server().id().value()).orElse(""),
+            "runs", runs,
+            "tried", tried.size(),
+            "waitedMs", waitedMillis,
+            "totalMs", now.steadyMillisSince(receivedAt),
+            "version", context.fleet().version(),
+            "versionAgeMs",
+                    context.fleet()
+                            .configurationAge(now)
+                            .map(Duration::toMillis)
+                            .orElse(-1L)
+        };
+        context.log().write(outcome, why, inputs);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -139,6 +139,11 @@
         return configuration;
     }
 
+    /** Returns the version of the configuration; -1 if none is known. */
+    synchronized long version() {
+        return configuration.map(FleetConfiguration::version).orElse(-1L);
+    }
+
     synchronized String configurationKey() {
         return configurationKey;
     }
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -0,0 +1,107 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.peer.PeerMessage;
+
+/** What this entry tells other entries, and what it takes over from them. */
+final class GatewayGossip {
+    private final EntryAnnouncement self;
+    private final GatewayContext context;
+    private final PeerMesh mesh;
+    private final GroupKeeper keeper;
+    private final BooleanSupplier ready;
+    private final Runnable changed;
+    private volatile Hearer hearer = (silent, now) -> {};
+
+    /** Hears which engines do not answer another entry. */
+    interface Hearer {
+        void toldOf(List<BackendServer> silent, Moment now);
+    }
+
+    GatewayGossip(
+            EntryAnnouncement self,
+            GatewayContext context,
+            PeerMesh mesh,
+            GroupKeeper keeper,
+            BooleanSupplier ready,
+            Runnable changed) {
+        this.self = self;
+        this.context = context;
+        this.mesh = mesh;
+        this.keeper = keeper;
+        this.ready = ready;
+        this.changed = changed;
+    }
+
+    void hearers(Hearer newHearer) {
+        hearer = newHearer;
+    }
+
+    private PeerMessage.Pulse ownPulse() {
+        Moment now = context.clock().now();
+        return new PeerMessage.Pulse(
+                ready.getAsBoolean(),
+                context.fleet().version(),
+                context.fleet().configurationAge(now).map(Duration::toMillis).orElse(-1L),
+                context.dispatcher().ownCounts(),
+                context.dispatcher().demand(now));
+    }
+
+    /** Exchanges the state of this entry for that of every other one. */
+    void pulse() {
+        mesh.pulse(ownPulse(), context.clock(), (from, pulse, askedAt, now) -> {
+            context.dispatcher().peerCounts(from.entry().instance(), pulse.loads(), now);
+            learnConfiguration(from, pulse, askedAt);
+        });
+    }
+
+    /** The age in a pulse counts until it was sent, which was not before this entry asked. */
+    private void learnConfiguration(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment askedAt) {
+        long own = context.fleet().version();
+        if (pulse.versionAgeMillis() >= 0 && pulse.version() == own) {
+            context.fleet().provenByPeer(own, askedAt.minus(Duration.ofMillis(pulse.versionAgeMillis())));
+        } else if (pulse.version() > own) {
+            mesh.askConfiguration(from, (key, text) -> {
+                context.fleet().configurationFromPeer(key, text);
+                changed.run();
+            });
+        }
+    }
+
+    /** Answers a question of another entry. */
+    PeerMessage answer(PeerMessage ask) {
+        if (ask instanceof PeerMessage.PulseAsk p) {
+            mesh.asked(p.from(), p.pulse());
+            Moment now = context.clock().now();
+            context.dispatcher().peerCounts(p.from().instance(), p.pulse().loads(), now);
+            return new PeerMessage.PulseAnswer(ownPulse());
+        } else if (ask instanceof PeerMessage.ConfigurationAsk) {
+            return new PeerMessage.ConfigurationAnswer(
+                    context.fleet().configurationKey(), context.fleet().configurationText());
+        } else if (ask instanceof PeerMessage.EnginesSuspected s) {
+            Set<InstanceId> ids = new HashSet<>(s.engines());
+            List<BackendServer> suspects = context.fleet().servers().stream()
+                    .filter(x -> ids.contains(x.id()))
+                    .toList();
+            hearer.toldOf(suspects, context.clock().now());
+            keeper.suspected(s.by(), suspects);
+            return new PeerMessage.Noted();
+        }
+        return new PeerMessage.Failed("not a message between gateways");
+    }
+
+    /** Tells the keepers, this entry's own included, which engines do not answer this entry. */
+    void tellSuspects(List<BackendServer> suspects) {
+        InstanceId by = self.entry().instance();
+        keeper.suspected(by, suspects);
+        List<InstanceId> ids = suspects.stream().map(BackendServer::id).toList();
+        mesh.tell(new PeerMessage.EnginesSuspected(by, ids), context.clock().now());
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -3,27 +3,21 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.Collection;
-import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.baobabspindle.core.dispatch.TargetChooser;
-import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.formation.FleetCensus;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
-import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
-import org.baobabspindle.peer.PeerMessage;
 import org.baobabspindle.peer.PeerSecret;
 import org.baobabspindle.peer.PeerServer;
 import org.baobabspindle.peer.PeerTraffic;
@@ -92,6 +86,7 @@
     private final KeeperLease lease;
     private final GroupKeeper keeper;
     private final SilenceGuard silence;
+    private final GatewayGossip gossip;
     private final GatewayServer server;
     private PeerServer peerServer;
     private volatile boolean announced;
@@ -126,7 +121,9 @@
         Duration timeToLive = Duration.ofMillis(Math.max(settings.leastLease().toMillis(), 1_300));
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
         keeper = new GroupKeeper(platform.engines(client), settings, lease, clock, log, metrics);
-        silence = new SilenceGuard(context, platform.engines(client), this::tellSuspects, log);
+        gossip = new GatewayGossip(self, context, mesh, keeper, this::ready, this::changed);
+        silence = new SilenceGuard(context, platform.engines(client), gossip::tellSuspects, log);
+        gossip.hearers(silence::toldOf);
         server = new GatewayServer(settings, threads);
         server.start(new GatewayHandler(
                 context, settings.listeners(), platform.directory(), this::addresses, this::ready, metrics));
@@ -210,7 +207,7 @@
     private void start() throws IOException {
         log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
         peerServer = PeerServer.start(
-                self.host(), self.peerPort(), new PeerSecret(self.secret()), peerWorkers, this::answerPeer, traffic);
+                self.host(), self.peerPort(), new PeerSecret(self.secret()), peerWorkers, gossip::answer, traffic);
         feed(Feed.CONFIGURATION, CONFIGURATION_PACE, (page, whole, askedAt) -> {
             fleet.configurationRead(page.records(), askedAt);
             changed();
@@ -225,7 +222,7 @@
         every(TICK, () -> silence.tick(clock.now()));
         every(KEEPER_TICK, this::keep);
         every(LEASE_RENEWAL, this::renewLease);
-        every(PULSE, this::pulse);
+        every(PULSE, gossip::pulse);
         every(CENSUS, this::census);
     }
 
@@ -327,63 +324,6 @@
         }
     }
 
-    private PeerMessage.Pulse ownPulse() {
-        Moment now = clock.now();
-        return new PeerMessage.Pulse(
-                ready(),
-                fleet.configuration().map(FleetConfiguration::version).orElse(-1L),
-                fleet.configurationAge(now).map(Duration::toMillis).orElse(-1L),
-                context.dispatcher().ownCounts(),
-                context.dispatcher().demand(now));
-    }
-
-    private void pulse() {
-        mesh.pulse(ownPulse(), clock, (from, pulse, askedAt, now) -> {
-            context.dispatcher().peerCounts(from.entry().instance(), pulse.loads(), now);
-            learnConfiguration(from, pulse, askedAt);
-        });
-    }
-
-    /** The age in a pulse counts until it was sent, which was not before this entry asked. */
-    private void learnConfiguration(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment askedAt) {
-        long own = fleet.configuration().map(FleetConfiguration::version).orElse(-1L);
-        if (pulse.versionAgeMillis() >= 0 && pulse.version() == own) {
-            fleet.provenByPeer(own, askedAt.minus(Duration.ofMillis(pulse.versionAgeMillis())));
-        } else if (pulse.version() > own) {
-            mesh.askConfiguration(from, (key, text) -> {
-                fleet.configurationFromPeer(key, text);
-                changed();
-            });
-        }
-    }
-
-    private PeerMessage answerPeer(PeerMessage ask) {
-        if (ask instanceof PeerMessage.PulseAsk p) {
-            mesh.asked(p.from(), p.pulse());
-            context.dispatcher().peerCounts(p.from().instance(), p.pulse().loads(), clock.now());
-            return new PeerMessage.PulseAnswer(ownPulse());
-        } else if (ask instanceof PeerMessage.ConfigurationAsk) {
-            return new PeerMessage.ConfigurationAnswer(fleet.configurationKey(), fleet.configurationText());
-        } else if (ask instanceof PeerMessage.EnginesSuspected s) {
-            Set<InstanceId> ids = new HashSet<>(s.engines());
-            List<BackendServer> suspects =
-                    fleet.servers().stream().filter(x -> ids.contains(x.id())).toList();
-            silence.toldOf(suspects, clock.now());
-            keeper.suspected(s.by(), suspects);
-            return new PeerMessage.Noted();
-        }
-        return new PeerMessage.Failed("not a message between gateways");
-    }
-
-    private void tellSuspects(Collection<BackendServer> suspects) {
-        InstanceId by = self.entry().instance();
-        keeper.suspected(by, suspects);
-        mesh.tell(
-                new PeerMessage.EnginesSuspected(
-                        by, suspects.stream().map(BackendServer::id).toList()),
-                clock.now());
-    }
-
     private boolean ready() {
         return fleet.complete() && announced && !stopping.begun();
     }
@@ -398,7 +338,7 @@
         stopping.begin(begun);
         log.write("stop", "told to stop", "active", context.active().size());
         lease.release();
-        pulse();
+        gossip.pulse();
         Duration most = settings.bounds().gracePeriod().minus(GRACE_MARGIN);
         Moment lastActive = begun;
         try {
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -11,8 +11,11 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
@@ -55,6 +58,8 @@
     private final FleetConfiguration configuration;
     private final List<BackendServer> servers;
     private final List<Integer> ports = new ArrayList<>();
+    private final Set<Feed> failing = ConcurrentHashMap.newKeySet();
+    private final Queue<FeedRecord> serverRecords = new ConcurrentLinkedQueue<>();
     private volatile boolean down;
 
     FakePlatform(FleetConfiguration configuration, List<BackendServer> servers) throws IOException {
@@ -87,6 +92,20 @@
         return "http://127.0.0.1:" + ports.get(2) + "/addresses";
     }
 
+    /** Makes reads of a feed fail, or succeed again. */
+    void failReads(Feed feed, boolean fail) {
+        if (fail) {
+            failing.add(feed);
+        } else {
+            failing.remove(feed);
+        }
+    }
+
+    /** Takes a backend server off the list. */
+    void takeOffList(String id) {
+        serverRecords.add(new FeedRecord(id, Optional.empty()));
+    }
+
     /** Makes every call to the store fail from now on. */
     void takeDown() {
         down = true;
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
@@ -0,0 +1,147 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.baobabspindle.port.Feed;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** What a gateway does in time: its own stop, time limits, and callers that leave. */
+class GatewayTimeTests extends GatewayTestSupport {
+    @Nested
+    class LeavingServers {
+        @Test
+        void theReturnOfAnotherFeedDoesNotKeepAServerInUse() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            platform.failReads(Feed.CONFIGURATION, true);
+            Thread.sleep(500);
+            platform.failReads(Feed.CONFIGURATION, false);
+            Thread.sleep(600);
+            platform.takeOffList("b1");
+            Thread.sleep(1_000);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(503);
+        }
+
+        @Test
+        void aServerThatLapsedInAnOutageOfTheListIsAwaited() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            platform.failReads(Feed.BACKEND_SERVERS, true);
+            Thread.sleep(500);
+            platform.failReads(Feed.BACKEND_SERVERS, false);
+            platform.takeOffList("b1");
+            Thread.sleep(1_000);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+        }
+    }
+
+    @Nested
+    class GracefulStop {
+        private Thread stopInBackground() throws InterruptedException {
+            Thread stop = new Thread(node::stop, "stop-in-test");
+            stop.start();
+            await(() -> status(platform.readiness()) == 503);
+            return stop;
+        }
+
+        @Test
+        void callersThatStillComeAreServedAndToldToGo() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            stopInBackground();
+            HttpResponse<String> answer = post("/unsafe/x");
+            assertThat(answer.body()).isEqualTo("done");
+            assertThat(answer.headers().firstValue("Connection")).hasValue("close");
+        }
+
+        @Test
+        void aStreamInProgressEndsWhole() throws Exception {
+            start((request, out, socket) -> {
+                RawBackend.write(out, String.format(EVENTS_HEAD, "r1") + chunk(event(1)));
+                Thread.sleep(800);
+                RawBackend.write(out, chunk(event(2)) + "0\r\n\r\n");
+            });
+            CompletableFuture<HttpResponse<String>> answer = http.sendAsync(
+                    request("/stream/x")
+                            .POST(HttpRequest.BodyPublishers.noBody())
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            await(() -> !backends.get(0).requests().isEmpty());
+            stopInBackground();
+            assertThat(answer.join().body()).isEqualTo(event(1) + event(2));
+        }
+
+        @Test
+        void streamsAreRefusedSoonerThanPlainRequests() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            stopInBackground();
+            Thread.sleep(800);
+            assertThat(post("/stream/x").statusCode()).isEqualTo(503);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+        }
+
+        @Test
+        void requestsThatCouldNotBeFinishedAreRefused() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            Thread stop = stopInBackground();
+            Thread.sleep(1_550);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(503);
+            stop.join(2_000);
+            assertThat(stop.isAlive()).isFalse();
+        }
+    }
+
+    @Nested
+    class Time {
+        @Test
+        void aCallerThatLeavesEndsTheWorkOfItsBackendServer() throws Exception {
+            start((request, out, socket) -> RawBackend.awaitClose(socket));
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), platform.callerPort())) {
+                String text = "POST /stream/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: a-key\r\n"
+                        + "Content-Length: 0\r\n\r\n";
+                caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+                await(() -> !backends.get(0).requests().isEmpty());
+            }
+            long left = System.nanoTime();
+            await(() -> backends.get(0).closedByCaller() == 1);
+            assertThat(Duration.ofNanos(System.nanoTime() - left)).isLessThan(Duration.ofMillis(500));
+        }
+
+        @Test
+        void theFinalAnswerComesAtTheTimeoutOfTheRoute() throws Exception {
+            start((request, out, socket) -> RawBackend.awaitClose(socket));
+            long begun = System.nanoTime();
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(504);
+            long millis = Duration.ofNanos(System.nanoTime() - begun).toMillis();
+            assertThat(millis).isAtLeast(ROUTE_TIMEOUT.toMillis() - 100);
+            assertThat(millis).isLessThan(ROUTE_TIMEOUT.toMillis() + 500);
+        }
+
+        @Test
+        void aRequestThatCrossesAnAnswerOnAKeptConnectionIsNotLost() throws Exception {
+            start((request, out, socket) -> {
+                Thread.sleep(300);
+                RawBackend.write(out, plain(request, "done"));
+            });
+            String text = "POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: a-key\r\n"
+                    + "Content-Length: 0\r\n\r\n";
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), platform.callerPort())) {
+                caller.getOutputStream().write((text + text).getBytes(StandardCharsets.ISO_8859_1));
+                caller.setSoTimeout(5_000);
+                InputStream in = caller.getInputStream();
+                StringBuilder read = new StringBuilder();
+                while (read.indexOf("done") == read.lastIndexOf("done")) {
+                    int b = in.read();
+                    assertThat(b).isAtLeast(0);
+                    read.append((char) b);
+                }
+            }
+        }
+    }
+}
