--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -184,7 +184,16 @@
 
     @Override
     public CompletableFuture<FeedPage> read(Feed feed, long from, Duration wait) {
-        return answer(new FeedPage(List.of(), from, false)).completeOnTimeout(FeedPage.gone(), 1, TimeUnit.SECONDS);
+        if (failing.contains(feed)) {
+            return CompletableFuture.failedFuture(new StoreException("the read fails"));
+        }
+        List<FeedRecord> records = new ArrayList<>();
+        FeedRecord next = feed == Feed.BACKEND_SERVERS ? serverRecords.poll() : null;
+        if (next != null) {
+            records.add(next);
+        }
+        return answer(new FeedPage(records, from + records.size(), false))
+                .completeOnTimeout(FeedPage.gone(), 1, TimeUnit.SECONDS);
     }
 
     @Override
