--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -37,6 +37,9 @@
     /** How long a head that left the list without notice may finish what it has; most requests are over by then. */
     private static final Duration GONE_PATIENCE = Duration.ofSeconds(3);
 
+    /** Groups that may be closing when another conversion begins; those of one conversion. */
+    private static final int MOST_CLOSING = 2;
+
     /** Before the first request, groups wait this long for further engines, which start at about the same time. */
     private static final Duration ARRIVAL_PAUSE = Duration.ofMillis(500);
 
@@ -262,7 +265,8 @@
 
     /**
      * Closes groups whose engines another model needs. All keepers see the same list and choose the same domain; only its own
-     * keeper acts, and none while a group is closing anywhere.
+     * keeper acts, and none while several groups are closing, so that
+     * keepers that decide at the same time do not dissolve too many.
      */
     private void convert(
             View view,
@@ -270,10 +274,11 @@
             Map<FabricDomain, List<BackendServer>> free,
             Map<String, Integer> groups,
             List<FormationAction> actions) {
-        boolean changing = view.engines().stream()
+        long closingNow = view.engines().stream()
                 .flatMap(s -> s.group().stream())
-                .anyMatch(m -> m.state() == MemberState.CLOSING);
-        if (view.beforeRequests() || changing || conversions.underWay()) {
+                .filter(m -> m.state() == MemberState.CLOSING)
+                .count();
+        if (view.beforeRequests() || closingNow >= MOST_CLOSING || conversions.underWay()) {
             return;
         }
         Optional<Rebalancer.Conversion> chosen =
@@ -306,6 +311,8 @@
             return 0;
         }
         int loads = view.loadsAllowed();
+        Map<FabricDomain, Rebalancer.DomainView> domains = new HashMap<>();
+        Rebalancer.DomainView.all(view, free).forEach(d -> domains.put(d.domain(), d));
         Set<GroupKey> present = new HashSet<>();
         view.engines().forEach(s -> s.group().ifPresent(m -> present.add(m.key())));
         for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
@@ -313,6 +320,9 @@
             if (conversions.awaitsDonors(e.getKey(), d -> present.contains(d) && !released.containsKey(d), now)) {
                 continue;
             }
+            if (promised.isEmpty() && keptForAnother(view, domains.get(e.getKey()), groups)) {
+                continue;
+            }
             List<BackendServer> left = new ArrayList<>(e.getValue());
             left.sort(Comparator.comparing(BackendServer::id));
             while (true) {
@@ -342,6 +352,14 @@
         return loads;
     }
 
+    /** Returns whether the free engines of a domain wait for groups of another model to give theirs. */
+    private static boolean keptForAnother(View view, Rebalancer.DomainView domain, Map<String, Integer> groups) {
+        return !view.beforeRequests()
+                && domain != null
+                && Rebalancer.keptFor(view.profile(), domain, groups, view.demand())
+                        .isPresent();
+    }
+
     /**
      * Counts the loads from the weight store that a plan begins.
      *
--- a/core/src/main/java/org/baobabspindle/core/formation/Rebalancer.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Rebalancer.java
@@ -69,22 +69,8 @@
     static Optional<Conversion> choose(
             EngineProfile profile, List<DomainView> domains, Map<String, Integer> groups, ModelDemand demand) {
         for (EngineModel wanted : profile.models()) {
-            double taken = taken(profile, wanted, groups.getOrDefault(wanted.name(), 0), demand);
-            if (taken < SHORT) {
-                continue;
-            }
             List<Candidate> candidates = new ArrayList<>();
-            for (EngineModel donor : profile.models()) {
-                if (!donor.equals(wanted)) {
-                    domains.forEach(d -> candidate(d, wanted, donor).ifPresent(c -> {
-                        int left = groups.getOrDefault(donor.name(), 0)
-                                - c.conversion().donors().size();
-                        if (left > 0 && taken > ADVANTAGE * taken(profile, donor, left, demand)) {
-                            candidates.add(c);
-                        }
-                    }));
-                }
-            }
+            domains.forEach(d -> candidates.addAll(candidates(profile, d, wanted, groups, demand)));
             Optional<Candidate> best = candidates.stream()
                     .min(Comparator.comparing(Candidate::readyAfter)
                             .thenComparing(c -> c.conversion().donors().size())
@@ -96,6 +82,48 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the model that the free engines of a domain should be kept for, because it is short and a conversion in this
+     * domain would use them. Survivors of a large group would else become small ones and lose its weights.
+     */
+    static Optional<EngineModel> keptFor(
+            EngineProfile profile, DomainView domain, Map<String, Integer> groups, ModelDemand demand) {
+        for (EngineModel wanted : profile.models()) {
+            boolean holding = domain.free().stream()
+                    .anyMatch(s -> !GroupPlanner.joinTime(wanted, s).equals(wanted.loadTime()));
+            if (holding && !candidates(profile, domain, wanted, groups, demand).isEmpty()) {
+                return Optional.of(wanted);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static List<Candidate> candidates(
+            EngineProfile profile,
+            DomainView domain,
+            EngineModel wanted,
+            Map<String, Integer> groups,
+            ModelDemand demand) {
+        List<Candidate> candidates = new ArrayList<>();
+        double taken = taken(profile, wanted, groups.getOrDefault(wanted.name(), 0), demand);
+        if (taken < SHORT) {
+            return candidates;
+        }
+        for (EngineModel donor : profile.models()) {
+            if (donor.equals(wanted)) {
+                continue;
+            }
+            candidate(domain, wanted, donor).ifPresent(c -> {
+                int left = groups.getOrDefault(donor.name(), 0)
+                        - c.conversion().donors().size();
+                if (left > 0 && taken > ADVANTAGE * taken(profile, donor, left, demand)) {
+                    candidates.add(c);
+                }
+            });
+        }
+        return candidates;
+    }
+
     private static double taken(EngineProfile profile, EngineModel model, int groups, ModelDemand demand) {
         return demand.slots(model.name()) / (Math.max(groups, 0.5) * profile.slots());
     }
--- a/core/src/test/java/org/baobabspindle/core/formation/Engines.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/Engines.java
@@ -59,6 +59,11 @@
 
     /** Returns a free engine whose host holds a model and that has been in no group since its start. */
     public static BackendServer holding(BackendServer s, EngineModel model) {
+        return staging(s.withModel(Optional.empty()), model);
+    }
+
+    /** Returns an engine whose host holds a model, whatever its last group was. */
+    public static BackendServer staging(BackendServer s, EngineModel model) {
         return new BackendServer(
                 s.id(),
                 s.service(),
@@ -69,9 +74,9 @@
                 s.slots(),
                 s.bornMillis(),
                 s.domain(),
-                Optional.empty(),
+                s.model(),
                 Optional.of(model.name()),
-                Optional.empty());
+                s.group());
     }
 
     public static BackendServer draining(BackendServer s) {
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
@@ -269,6 +270,26 @@
             joins.forEach(a -> assertThat(((FormationAction.Join) a).model()).isEqualTo("large"));
         }
 
+        @Test
+        void survivorsOfALargeGroupWaitForAPairInsteadOfBecomingOne() {
+            pairs("d1", 4);
+            for (int i = 0; i < 3; i++) {
+                BackendServer s = Engines.free("survivor" + i, "d1").withModel(Optional.of("large"));
+                engines.add(Engines.staging(s, Engines.SMALL));
+            }
+            Map<String, Double> demand = Map.of("large", 30.0, "small", 10.0);
+            List<BackendServer> others = new ArrayList<>(engines);
+            for (int i = 0; i < 2; i++) {
+                GroupKey key = GroupName.of(30 + i, Engines.free("c" + i, "d2"), "small");
+                engines.add(Engines.member(Engines.free("c" + i, "d2"), key, 0, Engines.SMALL, MemberState.CLOSING));
+                engines.add(Engines.member(Engines.free("m" + i, "d2"), key, 1, Engines.SMALL, MemberState.READY));
+            }
+            assertThat(decideWith(demand, START)).isEmpty();
+            engines.clear();
+            engines.addAll(others);
+            assertThat(kinds(decideWith(demand, at(1_000)))).containsExactly(FormationAction.Close.class);
+        }
+
         @Test
         void nothingIsClosedWhileTheDonorsAreAsFull() {
             pairs("d1", 4);
