--- a/core/src/main/java/org/baobabspindle/core/formation/FleetCensus.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/FleetCensus.java
@@ -2,14 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.GroupMembership;
 import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.id.FabricDomain;
 
 /**
  * Counts what the engines of a service do, for logs and metrics.
@@ -18,8 +21,10 @@
  * @param serving the serving groups by model
  * @param joining the engines that join a group
  * @param stranded the engines in no serving group that join none
+ * @param idle the stranded engines, counted by domain, state, last model and staged model
  */
-public record FleetCensus(int engines, Map<String, Integer> serving, int joining, int stranded) {
+public record FleetCensus(
+        int engines, Map<String, Integer> serving, int joining, int stranded, Map<String, Integer> idle) {
     /**
      * Counts.
      *
@@ -29,7 +34,7 @@
      */
     public static FleetCensus of(EngineProfile profile, Collection<BackendServer> listed) {
         Map<String, Integer> serving = new TreeMap<>();
-        int members = 0;
+        Set<BackendServer> members = new HashSet<>();
         for (GroupView g : GroupView.all(listed)) {
             boolean whole = g.model()
                     .flatMap(profile::model)
@@ -38,11 +43,31 @@
             Optional<MemberState> head = g.head().flatMap(BackendServer::group).map(GroupMembership::state);
             if (whole && head.equals(Optional.of(MemberState.OPEN))) {
                 serving.merge(g.model().orElseThrow(), 1, Integer::sum);
-                members += g.members().size();
+                members.addAll(g.members().values());
             }
         }
         List<BackendServer> joining = new ArrayList<>(listed);
         joining.removeIf(s -> !s.group().map(GroupMembership::state).equals(Optional.of(MemberState.JOINING)));
-        return new FleetCensus(listed.size(), serving, joining.size(), listed.size() - members - joining.size());
+        Map<String, Integer> idle = new TreeMap<>();
+        int stranded = 0;
+        for (BackendServer s : listed) {
+            if (!members.contains(s) && !joining.contains(s)) {
+                idle.merge(holding(s), 1, Integer::sum);
+                stranded++;
+            }
+        }
+        return new FleetCensus(listed.size(), serving, joining.size(), stranded, idle);
+    }
+
+    private static String holding(BackendServer s) {
+        String state = s.ready()
+                ? s.group().map(m -> m.state().name()).orElse("FREE")
+                : s.state().name();
+        return String.join(
+                " ",
+                s.domain().map(FabricDomain::value).orElse("-"),
+                state,
+                s.model().orElse("-"),
+                s.staged().orElse("-"));
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -313,6 +313,8 @@
                             census.joining(),
                             "stranded",
                             census.stranded(),
+                            "idle",
+                            census.idle(),
                             "demand",
                             mesh.demand(context.dispatcher().demand(clock.now()), clock.now()));
                 })));
