An engine gets one order at a time; one that it refused is decided again once its report is current

Cause: a head was told to open and to stage weights in one tick with the same expected number; it refused the second order, and the host counted as staging for 48 s. So every head held only its own model, and pairs could not become a large group without loads. Ruled out: that the engines stage slowly (members of the same groups did within 2 s).

--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -31,6 +31,9 @@
     /** How long an order is awaited before it is sent again; several times a calm answer with the report after it. */
     private static final Duration ORDER_PATIENCE = Duration.ofMillis(600);
 
+    /** The age of an engine's report; half more than the engines' documented figure. */
+    private static final Duration REPORT_LAG = Duration.ofMillis(300);
+
     /** How long a draining member's head may finish what it has; engines wait that long for it. */
     private static final Duration CLOSE_PATIENCE = Duration.ofSeconds(10);
 
@@ -55,7 +58,11 @@
     /** Creates decisions that know of no group. */
     public Formation() {}
 
-    private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {}
+    private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {
+        static OrderKey of(FormationAction action) {
+            return new OrderKey(action.server().lifetime(), action.key(), action.getClass());
+        }
+    }
 
     /**
      * What a keeper knows when it decides.
@@ -388,7 +395,7 @@
     }
 
     private void order(FormationAction action, Moment now, List<FormationAction> actions) {
-        OrderKey key = new OrderKey(action.server().lifetime(), action.key(), action.getClass());
+        OrderKey key = OrderKey.of(action);
         Moment before = ordered.get(key);
         if (before != null && now.isBefore(before.plus(ORDER_PATIENCE))) {
             return;
@@ -408,12 +415,38 @@
     }
 
     /**
-     * Allows orders to an engine to be sent again at once, because it is now known what it expects.
+     * Takes back that an order was sent, so that it is decided again.
+     *
+     * @param action the order that the engine did not get
+     */
+    public void notSent(FormationAction action) {
+        ordered.remove(OrderKey.of(action));
+        if (action instanceof FormationAction.Stage) {
+            staging.forget(action.server().lifetime());
+        }
+    }
+
+    /**
+     * Has an order decided again once the engine's report shows what it did instead.
+     *
+     * @param action the order that the engine refused
+     * @param now the present time
+     */
+    public void refused(FormationAction action, Moment now) {
+        ordered.put(OrderKey.of(action), now.plus(REPORT_LAG).minus(ORDER_PATIENCE));
+        if (action instanceof FormationAction.Stage) {
+            staging.refused(action.server().lifetime(), now.plus(REPORT_LAG));
+        }
+    }
+
+    /**
+     * Notes that an engine is at an order that this keeper did not give, perhaps one to stage weights.
      *
      * @param server the engine
+     * @param now the present time
      */
-    public void sequenceLearnt(BackendServer.Lifetime server) {
-        ordered.keySet().removeIf(k -> k.server().equals(server));
+    public void busyWithAnother(BackendServer.Lifetime server, Moment now) {
+        staging.unknownUnderWay(server, now);
     }
 
     /**
--- a/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
@@ -32,15 +32,37 @@
     /** Staging concerns a host and no group; its order names none. */
     private static final GroupKey NO_GROUP = new GroupKey("none", 0);
 
+    /** Stands for a model that another keeper has chosen. */
+    private static final String UNKNOWN_MODEL = "";
+
     private final Map<BackendServer.Lifetime, UnderWay> underWay = new HashMap<>();
 
-    private record UnderWay(String model, Moment since) {}
+    private record UnderWay(String model, Moment since, Moment until) {
+        static UnderWay of(EngineModel model, Moment now) {
+            return new UnderWay(model.name(), now, now.plus(model.loadTime().multipliedBy(PATIENCE)));
+        }
+    }
 
     /** Forgets engines that are not listed any more. */
     void retain(Set<BackendServer.Lifetime> present) {
         underWay.keySet().retainAll(present);
     }
 
+    /** Forgets that a host stages, because it did not begin to. */
+    void forget(BackendServer.Lifetime engine) {
+        underWay.remove(engine);
+    }
+
+    /** Leaves a host that refused to stage alone for a while. */
+    void refused(BackendServer.Lifetime engine, Moment until) {
+        underWay.put(engine, new UnderWay(UNKNOWN_MODEL, until.minus(STAGING_TIME), until));
+    }
+
+    /** Notes that a host stages what another keeper has ordered. */
+    void unknownUnderWay(BackendServer.Lifetime engine, Moment now) {
+        underWay.put(engine, new UnderWay(UNKNOWN_MODEL, now, now.plus(STAGING_TIME)));
+    }
+
     /** Has free engines stage what their domain lacks for a group; at most as many as loads may begin. */
     List<FormationAction> ofFreeEngines(
             Formation.View view,
@@ -50,10 +72,10 @@
             Moment now) {
         List<FormationAction> actions = new ArrayList<>();
         for (List<BackendServer> free : freeByDomain) {
-            for (StagingPlanner.Stage s : StagingPlanner.plan(
-                    view.profile(), free, groups, view.demand(), id -> stagingNow(id, view.profile(), now))) {
+            for (StagingPlanner.Stage s :
+                    StagingPlanner.plan(view.profile(), free, groups, view.demand(), id -> stagingNow(id, now))) {
                 if (actions.size() < loads) {
-                    underWay.put(s.server().lifetime(), new UnderWay(s.model().name(), now));
+                    underWay.put(s.server().lifetime(), UnderWay.of(s.model(), now));
                     actions.add(new FormationAction.Stage(
                             s.server(), NO_GROUP, s.model().name(), "its domain lacks the model"));
                 }
@@ -74,9 +96,8 @@
                 break;
             }
             Optional<EngineModel> model = settled(view, s) ? otherModel(view.profile(), s) : Optional.empty();
-            if (model.isPresent()
-                    && stagingNow(s.lifetime(), view.profile(), now).isEmpty()) {
-                underWay.put(s.lifetime(), new UnderWay(model.get().name(), now));
+            if (model.isPresent() && stagingNow(s.lifetime(), now).isEmpty()) {
+                underWay.put(s.lifetime(), UnderWay.of(model.get(), now));
                 actions.add(
                         new FormationAction.Stage(s, NO_GROUP, model.get().name(), "the host holds no other model"));
             }
@@ -115,14 +136,8 @@
                 .findFirst();
     }
 
-    private Optional<String> stagingNow(BackendServer.Lifetime engine, EngineProfile profile, Moment now) {
+    private Optional<String> stagingNow(BackendServer.Lifetime engine, Moment now) {
         UnderWay u = underWay.get(engine);
-        if (u == null) {
-            return Optional.empty();
-        }
-        Duration patience = profile.model(u.model())
-                .map(m -> m.loadTime().multipliedBy(PATIENCE))
-                .orElse(Duration.ZERO);
-        return now.isBefore(u.since().plus(patience)) ? Optional.of(u.model()) : Optional.empty();
+        return u != null && now.isBefore(u.until()) ? Optional.of(u.model()) : Optional.empty();
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,6 +51,7 @@
     private final Witnesses witnesses = new Witnesses();
     private final LoadAllowance loads;
     private final Map<BackendServer.Lifetime, Moment> lost = new HashMap<>();
+    private final Set<BackendServer.Lifetime> inFlight = new HashSet<>();
     private long epochsDrawn;
 
     GroupKeeper(
@@ -146,23 +148,45 @@
                     .thenAccept(a -> answered(action, order, a, servers));
             return;
         }
+        if (!begin(action)) {
+            return;
+        }
         OptionalLong known = sequences.expected(server);
         if (known.isPresent()) {
             engines.order(server, order, known, ORDER_TIMEOUT).thenAccept(a -> answered(action, order, a, servers));
         } else {
-            learn(server);
+            learn(action);
+        }
+    }
+
+    /**
+     * Returns whether an order may be sent. Of two orders at a time an engine refuses the second one, because both state the
+     * same number; the second one is decided again once the first is answered.
+     */
+    private synchronized boolean begin(FormationAction action) {
+        if (inFlight.add(action.server().lifetime())) {
+            return true;
         }
+        formation.notSent(action);
+        return false;
     }
 
     /** Asks an engine how many orders it has begun; what was to be ordered is decided again soon. */
-    private void learn(BackendServer server) {
-        engines.probe(server, SilenceGuard.PROBE_TIMEOUT)
-                .thenAccept(r -> r.ifPresent(x -> {
-                    sequences.reported(server.lifetime(), x.orderSequence());
-                    synchronized (this) {
-                        formation.sequenceLearnt(server.lifetime());
-                    }
-                }));
+    private void learn(FormationAction action) {
+        BackendServer.Lifetime server = action.server().lifetime();
+        engines.probe(action.server(), SilenceGuard.PROBE_TIMEOUT).thenAccept(r -> {
+            r.ifPresent(x -> sequences.reported(server, x.orderSequence()));
+            synchronized (this) {
+                inFlight.remove(server);
+                if (r.isEmpty()) {
+                    return;
+                }
+                formation.notSent(action);
+                if (action instanceof FormationAction.Stage && r.get().busy()) {
+                    formation.busyWithAnother(server, clock.now());
+                }
+            }
+        });
     }
 
     private static EngineOrder order(FormationAction action) {
@@ -200,13 +224,16 @@
         boolean doneAtOnce = action instanceof FormationAction.Leave
                 && action.server().group().isPresent();
         sequences.answered(action.server().lifetime(), answer, doneAtOnce);
-        if (answer == OrderAnswer.CONFLICT) {
-            learn(action.server());
-        }
         boolean silent = answer == OrderAnswer.UNKNOWN || answer == OrderAnswer.UNREACHABLE;
         boolean listed = servers.stream()
                 .anyMatch(s -> s.lifetime().equals(action.server().lifetime()));
         synchronized (this) {
+            if (!(action instanceof FormationAction.Leave)) {
+                inFlight.remove(action.server().lifetime());
+            }
+            if (answer == OrderAnswer.CONFLICT) {
+                formation.refused(action, now);
+            }
             boolean unreachable = answer == OrderAnswer.UNREACHABLE && !listed;
             if (action instanceof FormationAction.Leave && (!silent || unreachable)) {
                 formation.headLeft(action.key(), now);
--- a/entry/src/main/java/org/baobabspindle/port/EngineReport.java
+++ b/entry/src/main/java/org/baobabspindle/port/EngineReport.java
@@ -8,6 +8,7 @@
  *
  * @param orderSequence the orders that it has begun since its start
  * @param bornMillis when it started, in Unix milliseconds
+ * @param busy whether it is at an order, such as to stage weights
  * @param group the group that it is a member of
  */
-public record EngineReport(long orderSequence, long bornMillis, Optional<GroupKey> group) {}
+public record EngineReport(long orderSequence, long bornMillis, boolean busy, Optional<GroupKey> group) {}
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -235,7 +235,7 @@
     @Override
     public CompletableFuture<Optional<EngineReport>> probe(BackendServer server, Duration timeout) {
         return CompletableFuture.completedFuture(
-                Optional.of(new EngineReport(0, 0, server.group().map(m -> m.key()))));
+                Optional.of(new EngineReport(0, 0, false, server.group().map(m -> m.key()))));
     }
 
     @Override
