--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -60,8 +60,15 @@
     private final List<Integer> ports = new ArrayList<>();
     private final Set<Feed> failing = ConcurrentHashMap.newKeySet();
     private final Queue<FeedRecord> serverRecords = new ConcurrentLinkedQueue<>();
+    private final Queue<SentOrder> orders = new ConcurrentLinkedQueue<>();
+    private volatile CompletableFuture<OrderAnswer> orderAnswer =
+            CompletableFuture.completedFuture(OrderAnswer.REFUSED);
+    private volatile Set<Integer> partitions = Set.of();
     private volatile boolean down;
 
+    /** An order that an engine was sent. */
+    record SentOrder(InstanceId engine, Class<? extends EngineOrder> kind) {}
+
     FakePlatform(FleetConfiguration configuration, List<BackendServer> servers) throws IOException {
         this.configuration = configuration;
         this.servers = List.copyOf(servers);
@@ -106,6 +113,23 @@
         serverRecords.add(new FeedRecord(id, Optional.empty()));
     }
 
+    /** Grants partitions of the keepers' work from now on. */
+    void grantPartitions(Set<Integer> granted) {
+        partitions = Set.copyOf(granted);
+    }
+
+    /** Has engines answer orders from now on when a future completes. */
+    void answerOrders(CompletableFuture<OrderAnswer> answer) {
+        orderAnswer = answer;
+    }
+
+    /** Returns the kinds of the orders that an engine was sent. */
+    List<Class<? extends EngineOrder>> ordersTo(InstanceId engine) {
+        List<Class<? extends EngineOrder>> result = new ArrayList<>();
+        orders.stream().filter(o -> o.engine().equals(engine)).forEach(o -> result.add(o.kind()));
+        return result;
+    }
+
     /** Makes every call to the store fail from now on. */
     void takeDown() {
         down = true;
@@ -203,7 +227,7 @@
 
     @Override
     public CompletableFuture<LeaseGrant> renewLease(String member, Duration timeToLive, long generation) {
-        return answer(new LeaseGrant(1, Set.of()));
+        return answer(new LeaseGrant(1, partitions));
     }
 
     @Override
@@ -229,7 +253,8 @@
     @Override
     public CompletableFuture<OrderAnswer> order(
             BackendServer server, EngineOrder order, OptionalLong expectedSequence, Duration timeout) {
-        return CompletableFuture.completedFuture(OrderAnswer.REFUSED);
+        orders.add(new SentOrder(server.id(), order.getClass()));
+        return orderAnswer;
     }
 
     @Override
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -0,0 +1,125 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.CallerLimits;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
+import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.fleet.FleetService;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.fleet.GroupMembership;
+import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.fleet.ServerState;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.port.EngineOrder;
+import org.baobabspindle.port.OrderAnswer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class GroupKeeperTests {
+    private static final EngineModel SMALL =
+            new EngineModel("small", 2, 1, 0.5, Duration.ofSeconds(12), Duration.ofSeconds(1));
+    private static final EngineModel LARGE =
+            new EngineModel("large", 4, 1, 0.5, Duration.ofSeconds(16), Duration.ofSeconds(1));
+    private static final GroupKey KEY = new GroupKey("pair", 7);
+    private static final InstanceId HEAD = InstanceId.of("e0");
+
+    /** After this no more engines are awaited, so that those there are stage weights. */
+    private static final Duration SETTLED = Duration.ofSeconds(1);
+
+    private final GatewayClock clock = new GatewayClock();
+    private FakePlatform platform;
+    private FleetConfiguration configuration;
+    private List<BackendServer> engines;
+    private GroupKeeper keeper;
+
+    @BeforeEach
+    void start() throws Exception {
+        EngineProfile profile =
+                new EngineProfile(12, 7.8, 0.134, 45_900, 5, 5, 7, Duration.ofMillis(300), List.of(LARGE, SMALL));
+        configuration = new FleetConfiguration(
+                1,
+                List.of(),
+                List.of(new FleetService("pool", 100, Optional.of(profile))),
+                Map.of(),
+                true,
+                new CallerLimits(8_000, 1_000_000, Duration.ofSeconds(5), Duration.ofSeconds(30)));
+        engines = List.of(member("e0", 0), member("e1", 1));
+        platform = new FakePlatform(configuration, engines);
+        Set<Integer> all = new HashSet<>();
+        for (int i = 0; i < platform.settings().leasePartitions(); i++) {
+            all.add(i);
+        }
+        platform.grantPartitions(all);
+        EventLog log = new EventLog();
+        KeeperLease lease = new KeeperLease(platform, "m", Duration.ofSeconds(20), clock, log);
+        lease.renew();
+        GatewayTestSupport.await(() -> lease.term(clock.now()).isPresent());
+        keeper = new GroupKeeper(platform, platform.settings(), lease, clock, log, new GatewayMetrics());
+    }
+
+    private static BackendServer member(String id, int rank) {
+        return new BackendServer(
+                InstanceId.of(id),
+                "pool",
+                "127.0.0.1",
+                8080,
+                AvailabilityZone.of("z1"),
+                ServerState.READY,
+                12,
+                1,
+                Optional.of(FabricDomain.of("d1")),
+                Optional.of(SMALL.name()),
+                Optional.of(SMALL.name()),
+                Optional.of(new GroupMembership(KEY, rank, MemberState.READY)));
+    }
+
+    /** Has the keeper decide; the engines are new to it at the first tick. */
+    private void tick(Duration later) {
+        keeper.tick(
+                new GroupKeeper.Inputs(configuration, engines, Map.of(), 1),
+                clock.now().plus(later));
+    }
+
+    @Test
+    void anEngineGetsItsSecondOrderOnceItHasAnsweredTheFirst() {
+        CompletableFuture<OrderAnswer> open = new CompletableFuture<>();
+        platform.answerOrders(open);
+        tick(Duration.ZERO);
+        for (int i = 0; i < 5; i++) {
+            tick(SETTLED);
+        }
+        assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Open.class);
+
+        platform.answerOrders(new CompletableFuture<>());
+        open.complete(OrderAnswer.STARTED);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD))
+                .containsExactly(EngineOrder.Open.class, EngineOrder.Stage.class)
+                .inOrder();
+    }
+
+    @Test
+    void anOrderThatWasRefusedIsNotRepeatedBeforeTheReportShowsWhy() {
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.CONFLICT));
+        for (int i = 0; i < 6; i++) {
+            tick(Duration.ZERO);
+        }
+        assertThat(platform.ordersTo(HEAD)).isNotEmpty();
+        assertThat(platform.ordersTo(HEAD)).containsNoDuplicates();
+    }
+}
