No more hosts stage than the weight store serves at full speed; keepers tell each other what stages

A keeper that took over a domain did not know what its hosts were staging. Ruled out: slow reaction (orders went out within 0.2 s of an engine's arrival).

--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -73,6 +73,7 @@
      * @param ownDomains whether this keeper decides for a domain
      * @param demand the demand for each model
      * @param epochs the source of epochs of new groups
+     * @param stagedElsewhere the models that hosts stage on orders of other keepers
      * @param loadsAllowed how many engines may begin to load weights now
      * @param beforeRequests whether no request has been seen yet; loads are faster then and nothing is urgent
      */
@@ -83,6 +84,7 @@
             Predicate<FabricDomain> ownDomains,
             ModelDemand demand,
             EpochSource epochs,
+            Map<BackendServer.Lifetime, String> stagedElsewhere,
             int loadsAllowed,
             boolean beforeRequests) {
         /** Tells whether an engine takes work and answers. */
@@ -116,6 +118,7 @@
     public List<FormationAction> decide(View view, Moment now) {
         expire(now);
         arrivals(view, now);
+        staging.update(view, now);
         List<FormationAction> actions = new ArrayList<>();
         Map<String, Integer> groups = new HashMap<>();
         Map<FabricDomain, List<BackendServer>> free = new TreeMap<>();
@@ -414,6 +417,16 @@
         released.put(key, now);
     }
 
+    /**
+     * Returns the models that hosts stage on this keeper's orders.
+     *
+     * @param now the present time
+     * @return the models by engine
+     */
+    public Map<BackendServer.Lifetime, String> staging(Moment now) {
+        return staging.underWay(now);
+    }
+
     /**
      * Takes back that an order was sent, so that it is decided again.
      *
@@ -465,7 +478,6 @@
             lastArrival = now;
         }
         known = present;
-        staging.retain(present);
     }
 
     private void expire(Moment now) {
--- a/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,7 @@
     private static final String UNKNOWN_MODEL = "";
 
     private final Map<BackendServer.Lifetime, UnderWay> underWay = new HashMap<>();
+    private final Map<BackendServer.Lifetime, String> elsewhere = new HashMap<>();
 
     private record UnderWay(String model, Moment since, Moment until) {
         static UnderWay of(EngineModel model, Moment now) {
@@ -43,9 +45,44 @@
         }
     }
 
-    /** Forgets engines that are not listed any more. */
-    void retain(Set<BackendServer.Lifetime> present) {
-        underWay.keySet().retainAll(present);
+    /** Brings what is known up to date with the list of engines and with what other keepers have ordered. */
+    void update(Formation.View view, Moment now) {
+        Map<BackendServer.Lifetime, BackendServer> listed = new HashMap<>();
+        view.engines().forEach(s -> listed.put(s.lifetime(), s));
+        underWay.entrySet().removeIf(e -> done(e.getValue().model(), listed.get(e.getKey())));
+        elsewhere.clear();
+        view.stagedElsewhere().forEach((engine, model) -> {
+            BackendServer s = listed.get(engine);
+            if (done(model, s) || underWay.containsKey(engine)) {
+                return;
+            }
+            Optional<EngineModel> known = view.profile().model(model);
+            if (known.isPresent() && view.owns(s)) {
+                underWay.put(engine, UnderWay.of(known.get(), now));
+            } else {
+                elsewhere.put(engine, model);
+            }
+        });
+    }
+
+    private static boolean done(String model, BackendServer listed) {
+        return listed == null || listed.staged().equals(Optional.of(model));
+    }
+
+    /** Returns the models that hosts stage on this keeper's orders. */
+    Map<BackendServer.Lifetime, String> underWay(Moment now) {
+        Map<BackendServer.Lifetime, String> result = new HashMap<>();
+        underWay.forEach((engine, u) -> {
+            if (now.isBefore(u.until())) {
+                result.put(engine, u.model());
+            }
+        });
+        return result;
+    }
+
+    /** Returns how many more loads the weight store serves at full speed. */
+    private int room(Formation.View view, Moment now) {
+        return view.profile().loadsAtOnce() - underWay(now).size() - elsewhere.size();
     }
 
     /** Forgets that a host stages, because it did not begin to. */
@@ -63,22 +100,33 @@
         underWay.put(engine, new UnderWay(UNKNOWN_MODEL, now, now.plus(STAGING_TIME)));
     }
 
-    /** Has free engines stage what their domain lacks for a group; at most as many as loads may begin. */
+    /**
+     * Has free engines stage what their domain lacks for a group; at most as many as loads may begin. Loads beyond those that
+     * the weight store serves at full speed would delay each other, and with them every group.
+     */
     List<FormationAction> ofFreeEngines(
             Formation.View view,
             Collection<List<BackendServer>> freeByDomain,
             Map<String, Integer> groups,
             int loads,
             Moment now) {
-        List<FormationAction> actions = new ArrayList<>();
+        List<StagingPlanner.Batch> batches = new ArrayList<>();
         for (List<BackendServer> free : freeByDomain) {
-            for (StagingPlanner.Stage s :
-                    StagingPlanner.plan(view.profile(), free, groups, view.demand(), id -> stagingNow(id, now))) {
-                if (actions.size() < loads) {
-                    underWay.put(s.server().lifetime(), UnderWay.of(s.model(), now));
-                    actions.add(new FormationAction.Stage(
-                            s.server(), NO_GROUP, s.model().name(), "its domain lacks the model"));
+            batches.addAll(StagingPlanner.plan(view.profile(), free, groups, view.demand(), id -> stagingNow(id, now)));
+        }
+        batches.sort(Comparator.comparing((StagingPlanner.Batch b) -> !b.forGroup())
+                .thenComparing(b -> b.servers().size()));
+        List<FormationAction> actions = new ArrayList<>();
+        int half = view.profile().loadsAtOnce() / 2;
+        for (StagingPlanner.Batch b : batches) {
+            int reserved = b.forGroup() ? Math.min(b.servers().size(), half) - 1 : half;
+            for (BackendServer s : b.servers()) {
+                if (actions.size() >= loads || room(view, now) <= reserved) {
+                    break;
                 }
+                reserved = b.forGroup() ? 0 : half;
+                underWay.put(s.lifetime(), UnderWay.of(b.model(), now));
+                actions.add(new FormationAction.Stage(s, NO_GROUP, b.model().name(), "its domain lacks the model"));
             }
         }
         return actions;
@@ -116,8 +164,7 @@
                 .filter(s ->
                         s.group().filter(m -> m.state() == MemberState.JOINING).isPresent())
                 .count();
-        boolean stages =
-                underWay.values().stream().anyMatch(u -> now.isBefore(u.since().plus(STAGING_TIME)));
+        boolean stages = room(view, now) < view.profile().loadsAtOnce();
         boolean emptyOnes = view.engines().stream()
                 .anyMatch(s -> s.model().isEmpty() && s.staged().isEmpty());
         if (emptyOnes || stages || joining > MOST_JOINING_BESIDE_STAGING) {
@@ -138,6 +185,8 @@
 
     private Optional<String> stagingNow(BackendServer.Lifetime engine, Moment now) {
         UnderWay u = underWay.get(engine);
-        return u != null && now.isBefore(u.until()) ? Optional.of(u.model()) : Optional.empty();
+        return u != null && now.isBefore(u.until())
+                ? Optional.of(u.model())
+                : Optional.ofNullable(elsewhere.get(engine));
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -51,7 +51,8 @@
                 context.fleet().version(),
                 context.fleet().configurationAge(now).map(Duration::toMillis).orElse(-1L),
                 context.dispatcher().ownCounts(),
-                context.dispatcher().demand(now));
+                context.dispatcher().demand(now),
+                keeper.staging(now));
     }
 
     /** Exchanges the state of this entry for that of every other one. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -52,6 +52,7 @@
     private final LoadAllowance loads;
     private final Map<BackendServer.Lifetime, Moment> lost = new HashMap<>();
     private final Set<BackendServer.Lifetime> inFlight = new HashSet<>();
+    private final Map<BackendServer.Lifetime, Long> refusedStaging = new HashMap<>();
     private long epochsDrawn;
 
     GroupKeeper(
@@ -70,13 +71,33 @@
         this.loads = new LoadAllowance(settings.bounds().loadWindow());
     }
 
-    /** What the keeper is told at each tick. */
+    /**
+     * What the keeper is told at each tick.
+     *
+     * @param configuration the configuration in force
+     * @param servers the backend servers
+     * @param demand the slots that requests to all entries would fill, by model
+     * @param stagedElsewhere the models that engines stage on orders of other keepers, by engine and start
+     * @param keepers the entries that share the keepers' work
+     */
     record Inputs(
             FleetConfiguration configuration,
             Collection<BackendServer> servers,
             Map<String, Double> demand,
+            Map<String, String> stagedElsewhere,
             int keepers) {}
 
+    /** Returns the models that engines stage on this entry's orders, by engine and start. */
+    synchronized Map<String, String> staging(Moment now) {
+        Map<String, String> result = new HashMap<>();
+        formation.staging(now).forEach((engine, model) -> result.put(key(engine), model));
+        return result;
+    }
+
+    private static String key(BackendServer.Lifetime engine) {
+        return engine.id() + "/" + engine.bornMillis();
+    }
+
     /** Decides and sends orders for all services with engines. */
     void tick(Inputs inputs, Moment now) {
         Optional<Long> term = lease.term(now);
@@ -106,6 +127,7 @@
                 d -> lease.holds(partition(d), now),
                 demand,
                 () -> term * EPOCHS_PER_TERM + ++epochsDrawn,
+                stagedElsewhere(own, in.stagedElsewhere()),
                 allowed,
                 calm);
         List<FormationAction> actions = formation.decide(view, now);
@@ -115,6 +137,18 @@
         return actions;
     }
 
+    private static Map<BackendServer.Lifetime, String> stagedElsewhere(
+            List<BackendServer> engines, Map<String, String> staging) {
+        Map<BackendServer.Lifetime, String> result = new HashMap<>();
+        for (BackendServer s : engines) {
+            String model = staging.get(key(s.lifetime()));
+            if (model != null) {
+                result.put(s.lifetime(), model);
+            }
+        }
+        return result;
+    }
+
     private void countLoads(EngineProfile profile, List<FormationAction> actions, Moment now) {
         for (FormationAction a : actions) {
             if (a instanceof FormationAction.Stage) {
@@ -153,7 +187,12 @@
         }
         OptionalLong known = sequences.expected(server);
         if (known.isPresent()) {
-            engines.order(server, order, known, ORDER_TIMEOUT).thenAccept(a -> answered(action, order, a, servers));
+            engines.order(server, order, known, ORDER_TIMEOUT).thenAccept(a -> {
+                if (a == OrderAnswer.CONFLICT && order instanceof EngineOrder.Stage) {
+                    refusedStaging(server.lifetime(), known.getAsLong());
+                }
+                answered(action, order, a, servers);
+            });
         } else {
             learn(action);
         }
@@ -182,13 +221,20 @@
                     return;
                 }
                 formation.notSent(action);
-                if (action instanceof FormationAction.Stage && r.get().busy()) {
+                Long refused = refusedStaging.remove(server);
+                boolean sameSequence = refused != null && refused == r.get().orderSequence();
+                if (action instanceof FormationAction.Stage && (r.get().busy() || sameSequence)) {
                     formation.busyWithAnother(server, clock.now());
                 }
             }
         });
     }
 
+    /** Notes the number at which an engine refused to stage: if it still reports that one, its host is at another load. */
+    private synchronized void refusedStaging(BackendServer.Lifetime server, long sequence) {
+        refusedStaging.put(server, sequence);
+    }
+
     private static EngineOrder order(FormationAction action) {
         if (action instanceof FormationAction.Join j) {
             return new EngineOrder.Join(
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -46,6 +46,7 @@
         private boolean ready;
         private boolean asking;
         private Map<String, Double> demand = Map.of();
+        private Map<String, String> staging = Map.of();
 
         Peer(EntryAnnouncement entry) {
             this.entry = entry;
@@ -135,6 +136,7 @@
         p.heardAt = Optional.of(now);
         p.ready = pulse.ready();
         p.demand = pulse.demand();
+        p.staging = pulse.staging();
     }
 
     /** Notes a pulse that another entry sent with its question. */
@@ -143,6 +145,7 @@
         if (p != null && p.entry.entry().equals(from)) {
             p.ready = pulse.ready();
             p.demand = pulse.demand();
+            p.staging = pulse.staging();
         }
     }
 
@@ -201,6 +204,16 @@
         return result;
     }
 
+    /**
+     * Returns the models that engines stage on orders of other entries, also of those that do not answer: an entry that ends
+     * does not end the loads it has begun.
+     */
+    synchronized Map<String, String> staging() {
+        Map<String, String> result = new HashMap<>();
+        peers.values().forEach(p -> result.putAll(p.staging));
+        return result;
+    }
+
     /** Returns the addresses of entries that take requests, those of the caller's zone alone if there are enough. */
     List<String> addresses(Optional<AvailabilityZone> zone, boolean selfReady, Moment now) {
         List<EntryAnnouncement> ready = new ArrayList<>();
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -148,17 +148,20 @@
      * @param versionAgeMillis how long before this message that version was proven to be the newest; negative if never
      * @param loads its outstanding requests by target
      * @param demand the slots that its requests would fill, by model
+     * @param staging the models that engines stage on its orders, by engine and start as {@code id/millis}
      */
     record Pulse(
             boolean ready,
             long version,
             long versionAgeMillis,
             Map<String, Integer> loads,
-            Map<String, Double> demand) {
+            Map<String, Double> demand,
+            Map<String, String> staging) {
         /** Copies the counts. */
         public Pulse {
             loads = loads == null ? Map.of() : Map.copyOf(loads);
             demand = demand == null ? Map.of() : Map.copyOf(demand);
+            staging = staging == null ? Map.of() : Map.copyOf(staging);
         }
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -88,10 +88,27 @@
                 Optional.of(new GroupMembership(KEY, rank, MemberState.READY)));
     }
 
+    private static BackendServer withState(BackendServer s, MemberState state) {
+        GroupMembership m = s.group().orElseThrow();
+        return new BackendServer(
+                s.id(),
+                s.service(),
+                s.host(),
+                s.port(),
+                s.zone(),
+                s.state(),
+                s.slots(),
+                s.bornMillis(),
+                s.domain(),
+                s.model(),
+                s.staged(),
+                Optional.of(new GroupMembership(KEY, m.rank(), state)));
+    }
+
     /** Has the keeper decide; the engines are new to it at the first tick. */
     private void tick(Duration later) {
         keeper.tick(
-                new GroupKeeper.Inputs(configuration, engines, Map.of(), 1),
+                new GroupKeeper.Inputs(configuration, engines, Map.of(), Map.of(), 1),
                 clock.now().plus(later));
     }
 
@@ -122,4 +139,16 @@
         assertThat(platform.ordersTo(HEAD)).isNotEmpty();
         assertThat(platform.ordersTo(HEAD)).containsNoDuplicates();
     }
+
+    @Test
+    void aHostThatIsAtAnotherLoadIsNotAskedToStageAgain() throws Exception {
+        engines = List.of(withState(member("e0", 0), MemberState.OPEN), withState(member("e1", 1), MemberState.READY));
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.CONFLICT));
+        tick(Duration.ZERO);
+        for (int i = 0; i < 20; i++) {
+            Thread.sleep(50);
+            tick(SETTLED);
+        }
+        assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Stage.class);
+    }
 }
