An engine that refused an order is asked what it has begun, also when it looks untouched

Ruled out: engines that are busy staging (those refuse orders to stage only). OrderSequencesTests failed first.

--- a/entry/src/main/java/org/baobabspindle/gateway/OrderSequences.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/OrderSequences.java
@@ -1,8 +1,10 @@
 package org.baobabspindle.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.port.OrderAnswer;
 
@@ -12,6 +14,7 @@
  */
 final class OrderSequences {
     private final Map<BackendServer.Lifetime, Long> begun = new HashMap<>();
+    private final Set<BackendServer.Lifetime> doubted = new HashSet<>();
 
     /** Returns the number to expect; empty if the engine must be asked. */
     synchronized OptionalLong expected(BackendServer server) {
@@ -19,8 +22,10 @@
         if (known != null) {
             return OptionalLong.of(known);
         }
-        boolean untouched = server.group().isEmpty() && server.model().isEmpty();
-        if (!untouched) {
+        boolean untouched = server.group().isEmpty()
+                && server.model().isEmpty()
+                && server.staged().isEmpty();
+        if (!untouched || doubted.contains(server.lifetime())) {
             return OptionalLong.empty();
         }
         begun.put(server.lifetime(), 0L);
@@ -36,11 +41,13 @@
             begun.computeIfPresent(server, (s, n) -> n + 1);
         } else if (answer == OrderAnswer.CONFLICT) {
             begun.remove(server);
+            doubted.add(server);
         }
     }
 
     /** Takes over the engine's own report. */
     synchronized void reported(BackendServer.Lifetime server, long sequence) {
         begun.put(server, sequence);
+        doubted.remove(server);
     }
 }
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/OrderSequencesTests.java
@@ -0,0 +1,52 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.ServerState;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.FabricDomain;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.port.OrderAnswer;
+import org.junit.jupiter.api.Test;
+
+class OrderSequencesTests {
+    private final OrderSequences sequences = new OrderSequences();
+
+    private static BackendServer engine(Optional<String> staged) {
+        return new BackendServer(
+                InstanceId.of("e0"),
+                "pool",
+                "127.0.0.1",
+                8080,
+                AvailabilityZone.of("z1"),
+                ServerState.READY,
+                12,
+                1,
+                Optional.of(FabricDomain.of("d1")),
+                Optional.empty(),
+                staged,
+                Optional.empty());
+    }
+
+    @Test
+    void anUntouchedEngineExpectsItsFirstOrder() {
+        assertThat(sequences.expected(engine(Optional.empty()))).hasValue(0);
+    }
+
+    @Test
+    void anEngineThatHasStagedIsAsked() {
+        assertThat(sequences.expected(engine(Optional.of("large")))).isEmpty();
+    }
+
+    @Test
+    void anEngineThatRefusedIsAskedAlsoWhenItLooksUntouched() {
+        BackendServer e = engine(Optional.empty());
+        assertThat(sequences.expected(e)).hasValue(0);
+        sequences.answered(e.lifetime(), OrderAnswer.CONFLICT, false);
+        assertThat(sequences.expected(e)).isEmpty();
+        sequences.reported(e.lifetime(), 1);
+        assertThat(sequences.expected(e)).hasValue(1);
+    }
+}
