In a large fleet an entry asks eight others a round, and only keepers read the store at short intervals

Ruled out: cost of requests (420 a second over 64 entries). Small fleets keep their pace (FleetPaceTests).

--- a/entry/src/main/java/org/baobabspindle/gateway/FeedLoop.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FeedLoop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.Feed;
@@ -17,7 +18,7 @@
 
     private final PlatformStore store;
     private final Feed feed;
-    private final Pace pace;
+    private final Supplier<Pace> pace;
     private final Sink sink;
     private final GatewayClock clock;
     private final ScheduledExecutorService timer;
@@ -45,7 +46,7 @@
     FeedLoop(
             PlatformStore store,
             Feed feed,
-            Pace pace,
+            Supplier<Pace> pace,
             Sink sink,
             GatewayClock clock,
             ScheduledExecutorService timer,
@@ -62,7 +63,8 @@
     void start() {
         Moment askedAt = clock.now();
         boolean whole = next < 0;
-        CompletableFuture<FeedPage> read = whole ? store.newest(feed) : store.read(feed, next, pace.longPoll());
+        CompletableFuture<FeedPage> read =
+                whole ? store.newest(feed) : store.read(feed, next, pace.get().longPoll());
         read.whenComplete((page, failure) -> {
             Duration pause = RETRY_PAUSE;
             try {
@@ -88,7 +90,8 @@
         next = page.next();
         sink.read(page, whole, askedAt);
         Duration taken = Duration.ofNanos(clock.now().steadyNanos() - askedAt.steadyNanos());
-        return taken.compareTo(pace.pause()) < 0 ? pace.pause().minus(taken) : Duration.ZERO;
+        Duration pause = pace.get().pause();
+        return taken.compareTo(pause) < 0 ? pause.minus(taken) : Duration.ZERO;
     }
 
     private Duration failed(Throwable failure) {
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
@@ -0,0 +1,71 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+
+/**
+ * How often an entry asks the other entries and the store, by how many entries there are. What one entry does stays the same
+ * in a large fleet, and all entries together stay within what the store bears: a few of them read it at short intervals, and
+ * the others hear from those whether their configuration is still the newest.
+ */
+final class FleetPace {
+    /** How often entries tell each other their loads; a fraction of the time of a short request. */
+    static final Duration PULSE = Duration.ofMillis(200);
+
+    /** The entries asked in one round; twice as many are heard, because each question tells the asker's state. */
+    static final int ASKS_PER_ROUND = 8;
+
+    /** The entries up to which each one reads the store for itself; as many as there are partitions of the keepers' work. */
+    private static final int SMALL_FLEET = 16;
+
+    /** An entry that has not answered for this long is not told to callers; several pulses in a row were lost. */
+    private static final Duration ALIVE = Duration.ofMillis(1_200);
+
+    /** A read that the store leaves unanswered is over with its time-out within three seconds; servers leave in between. */
+    private static final Duration SERVERS_LONG_POLL = Duration.ofMillis(1_200);
+
+    private static final Duration CONFIGURATION_LONG_POLL = Duration.ofMillis(1_500);
+
+    /** Read at this interval alone, a configuration would be proven too late for keys; others prove it in between. */
+    private static final Duration RELAYED_LONG_POLL = Duration.ofSeconds(6);
+
+    private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(100);
+    private static final Duration SERVERS_PAUSE = Duration.ofMillis(150);
+
+    /** The share of all entries' reads of changing servers that one entry takes, as a pause for each entry there is. */
+    private static final Duration PAUSE_PER_ENTRY = Duration.ofMillis(10);
+
+    private FleetPace() {}
+
+    /** Returns the rounds in which every other entry is asked once. */
+    static int rounds(int entries) {
+        return Math.max(1, (entries - 1 + ASKS_PER_ROUND - 1) / ASKS_PER_ROUND);
+    }
+
+    /** Returns how long ago an entry must have answered to count as alive. */
+    static Duration alive(int entries) {
+        return ALIVE.plus(PULSE.multipliedBy(rounds(entries) - 1L));
+    }
+
+    /**
+     * Returns how the configuration is read.
+     *
+     * @param entries the entries there are
+     * @param reader whether this entry is one that reads at short intervals, such as a keeper
+     */
+    static FeedLoop.Pace configuration(int entries, boolean reader) {
+        return new FeedLoop.Pace(
+                reader || entries <= SMALL_FLEET ? CONFIGURATION_LONG_POLL : RELAYED_LONG_POLL, CONFIGURATION_PAUSE);
+    }
+
+    /**
+     * Returns how the list of backend servers is read.
+     *
+     * @param entries the entries there are
+     * @param reader whether this entry is one that reads at short intervals, such as a keeper
+     */
+    static FeedLoop.Pace servers(int entries, boolean reader) {
+        Duration shared = PAUSE_PER_ENTRY.multipliedBy(entries);
+        boolean alone = reader || shared.compareTo(SERVERS_PAUSE) < 0;
+        return new FeedLoop.Pace(SERVERS_LONG_POLL, alone ? SERVERS_PAUSE : shared);
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.formation.FleetCensus;
@@ -44,9 +45,6 @@
     /** How often the keeper decides when nothing has changed. */
     private static final Duration KEEPER_TICK = Duration.ofMillis(100);
 
-    /** How often entries tell each other their loads. */
-    private static final Duration PULSE = Duration.ofMillis(200);
-
     /** How often the lease is renewed; three calls fit into the shortest lease. */
     private static final Duration LEASE_RENEWAL = Duration.ofMillis(350);
 
@@ -59,12 +57,6 @@
     /** Taken off the grace period, so that the process ends before it is killed. */
     private static final Duration GRACE_MARGIN = Duration.ofMillis(400);
 
-    private static final FeedLoop.Pace CONFIGURATION_PACE =
-            new FeedLoop.Pace(Duration.ofMillis(1_500), Duration.ofMillis(100));
-
-    /** A read that the store leaves unanswered is over with its time-out within three seconds; servers leave in between. */
-    static final FeedLoop.Pace SERVERS_PACE = new FeedLoop.Pace(Duration.ofMillis(1_200), Duration.ofMillis(150));
-
     private static final FeedLoop.Pace ENTRIES_PACE = new FeedLoop.Pace(Duration.ofSeconds(15), Duration.ofMillis(300));
 
     private final GatewayClock clock = new GatewayClock();
@@ -208,29 +200,37 @@
         log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
         peerServer = PeerServer.start(
                 self.host(), self.peerPort(), new PeerSecret(self.secret()), peerWorkers, gossip::answer, traffic);
-        feed(Feed.CONFIGURATION, CONFIGURATION_PACE, (page, whole, askedAt) -> {
-            fleet.configurationRead(page.records(), askedAt);
-            changed();
-        });
-        feed(Feed.BACKEND_SERVERS, SERVERS_PACE, (page, whole, askedAt) -> {
+        feed(
+                Feed.CONFIGURATION,
+                () -> FleetPace.configuration(mesh.entries(), readsOften()),
+                (page, whole, askedAt) -> {
+                    fleet.configurationRead(page.records(), askedAt);
+                    changed();
+                });
+        feed(Feed.BACKEND_SERVERS, () -> FleetPace.servers(mesh.entries(), readsOften()), (page, whole, askedAt) -> {
             fleet.serversRead(page.records(), whole, clock.now());
             changed();
         });
-        feed(Feed.ENTRIES, ENTRIES_PACE, (page, whole, askedAt) -> mesh.read(page.records()));
+        feed(Feed.ENTRIES, () -> ENTRIES_PACE, (page, whole, askedAt) -> mesh.read(page.records()));
         announce();
         every(TICK, () -> context.tick(clock.now()));
         every(TICK, () -> silence.tick(clock.now()));
         every(KEEPER_TICK, this::keep);
         every(LEASE_RENEWAL, this::renewLease);
-        every(PULSE, gossip::pulse);
+        every(FleetPace.PULSE, gossip::pulse);
         every(CENSUS, this::census);
     }
 
+    /** Returns whether this entry reads the store at short intervals: a keeper does, and one that has not read it yet. */
+    private boolean readsOften() {
+        return !fleet.complete() || lease.granted();
+    }
+
     private interface PageSink {
         void read(FeedPage page, boolean whole, Moment askedAt);
     }
 
-    private void feed(Feed feed, FeedLoop.Pace pace, PageSink sink) {
+    private void feed(Feed feed, Supplier<FeedLoop.Pace> pace, PageSink sink) {
         FeedLoop.Sink loopSink = new FeedLoop.Sink() {
             @Override
             public void read(FeedPage page, boolean whole, Moment askedAt) {
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
@@ -112,6 +112,11 @@
         return valid(now) && !now.isBefore(settledAt) ? term : Optional.empty();
     }
 
+    /** Returns whether this entry was granted any partition when it last renewed the lease. */
+    synchronized boolean granted() {
+        return !partitions.isEmpty();
+    }
+
     /** Gives all partitions up. */
     void release() {
         synchronized (this) {
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,9 +24,6 @@
 
 /** The other entries: who they are, which of them answer, and what they tell. */
 final class PeerMesh {
-    /** An entry that has not answered for this long is not told to callers; several pulses in a row were lost. */
-    private static final Duration ALIVE = Duration.ofMillis(1_200);
-
     /** The wait for an answer of another entry; a few times the way between regions. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(800);
 
@@ -39,12 +37,14 @@
     private final PeerClient client;
     private final EventLog log;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
+    private long round;
 
     private static final class Peer {
         private final EntryAnnouncement entry;
         private Optional<Moment> heardAt = Optional.empty();
         private boolean ready;
         private boolean asking;
+        private long askedInRound;
         private Map<String, Double> demand = Map.of();
         private Map<String, String> staging = Map.of();
 
@@ -100,9 +100,9 @@
         throw new IllegalStateException("no entry was announced at " + address);
     }
 
-    /** Asks every entry that has no question open. */
+    /** Asks those of the entries without an open question that were not asked for the longest time. */
     void pulse(PeerMessage.Pulse own, GatewayClock clock, PulseSink sink) {
-        for (Peer p : idle()) {
+        for (Peer p : nextToAsk()) {
             Moment askedAt = clock.now();
             PeerMessage ask = new PeerMessage.PulseAsk(self.entry(), own);
             client.ask(p.entry.peerAddress(), ask, ANSWER_TIMEOUT).whenComplete((answer, failure) -> {
@@ -118,13 +118,15 @@
         }
     }
 
-    private synchronized List<Peer> idle() {
-        List<Peer> result = new ArrayList<>();
-        for (Peer p : peers.values()) {
-            if (!p.asking) {
-                p.asking = true;
-                result.add(p);
-            }
+    private synchronized List<Peer> nextToAsk() {
+        round++;
+        List<Peer> result = new ArrayList<>(peers.values());
+        result.removeIf(p -> p.asking);
+        result.sort(Comparator.comparingLong(p -> p.askedInRound));
+        result = result.subList(0, Math.min(FleetPace.ASKS_PER_ROUND, result.size()));
+        for (Peer p : result) {
+            p.asking = true;
+            p.askedInRound = round;
         }
         return result;
     }
@@ -177,8 +179,9 @@
 
     private synchronized List<Peer> alive(Moment now) {
         List<Peer> result = new ArrayList<>();
+        Duration patience = FleetPace.alive(entries());
         for (Peer p : peers.values()) {
-            if (p.heardAt.filter(h -> now.since(h).compareTo(ALIVE) <= 0).isPresent()) {
+            if (p.heardAt.filter(h -> now.since(h).compareTo(patience) <= 0).isPresent()) {
                 result.add(p);
             }
         }
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetPaceTests.java
@@ -0,0 +1,62 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class FleetPaceTests {
+    /** An instance counts as in touch this long after the store answers it again. */
+    private static final Duration IN_TOUCH_AFTER = Duration.ofSeconds(3);
+
+    /** The time that a call of the store may take beyond the wait that it asks for. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_500);
+
+    /** What the store of the largest fleet bears, in reads a second. */
+    private static final double READS_PER_SECOND = 6_000;
+
+    private static final int READERS = 16;
+
+    private static double readsPerSecond(FeedLoop.Pace pace) {
+        return 1_000.0 / Math.max(1, pace.pause().toMillis());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 64, 340})
+    void aReadWithoutAnAnswerIsOverBeforeTheEntryCountsAsInTouchAgain(int entries) {
+        Duration blind = FleetPace.servers(entries, true).longPoll().plus(ANSWER_TIMEOUT);
+        assertThat(blind).isLessThan(IN_TOUCH_AFTER);
+        assertThat(FleetPace.servers(entries, false).longPoll()).isEqualTo(blind.minus(ANSWER_TIMEOUT));
+    }
+
+    @Test
+    void everyEntryOfASmallFleetAsksAllOthersInEachRound() {
+        assertThat(FleetPace.rounds(1)).isEqualTo(1);
+        assertThat(FleetPace.rounds(8)).isEqualTo(1);
+        assertThat(FleetPace.rounds(64)).isEqualTo(8);
+    }
+
+    @Test
+    void anEntryCountsAsAliveUntilItCouldBeAskedSeveralTimes() {
+        assertThat(FleetPace.alive(8)).isEqualTo(Duration.ofMillis(1_200));
+        assertThat(FleetPace.alive(64)).isGreaterThan(FleetPace.PULSE.multipliedBy(FleetPace.rounds(64)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {7, 64, 340})
+    void readsOfAListThatChangesAllTheTimeStayWithinATenthOfTheStore(int entries) {
+        int readers = Math.min(READERS, entries);
+        double reads = readers * readsPerSecond(FleetPace.servers(entries, true))
+                + (entries - readers) * readsPerSecond(FleetPace.servers(entries, false));
+        assertThat(reads).isLessThan(READS_PER_SECOND / 10);
+    }
+
+    @Test
+    void onlyAReaderProvesTheConfigurationAtShortIntervalsInALargeFleet() {
+        assertThat(FleetPace.configuration(64, true)).isEqualTo(FleetPace.configuration(7, false));
+        assertThat(FleetPace.configuration(64, false).longPoll())
+                .isGreaterThan(FleetPace.configuration(64, true).longPoll());
+    }
+}
