--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -45,7 +45,9 @@
     private FakePlatform platform;
     private FleetConfiguration configuration;
     private List<BackendServer> engines;
+    private KeeperLease lease;
     private GroupKeeper keeper;
+    private Map<String, String> stagedElsewhere = Map.of();
 
     @BeforeEach
     void start() throws Exception {
@@ -66,10 +68,14 @@
         }
         platform.grantPartitions(all);
         EventLog log = new EventLog();
-        KeeperLease lease = new KeeperLease(platform, "m", Duration.ofSeconds(20), clock, log);
+        lease = new KeeperLease(platform, "m", Duration.ofSeconds(20), clock, log);
         lease.renew();
         GatewayTestSupport.await(() -> lease.term(clock.now()).isPresent());
-        keeper = new GroupKeeper(platform, platform.settings(), lease, clock, log, new GatewayMetrics());
+        keeper = newKeeper();
+    }
+
+    private GroupKeeper newKeeper() {
+        return new GroupKeeper(platform, platform.settings(), lease, clock, new EventLog(), new GatewayMetrics());
     }
 
     private static BackendServer member(String id, int rank) {
@@ -108,7 +114,7 @@
     /** Has the keeper decide; the engines are new to it at the first tick. */
     private void tick(Duration later) {
         keeper.tick(
-                new GroupKeeper.Inputs(configuration, engines, Map.of(), Map.of(), 1),
+                new GroupKeeper.Inputs(configuration, engines, Map.of(), stagedElsewhere, 1),
                 clock.now().plus(later));
     }
 
@@ -140,6 +146,24 @@
         assertThat(platform.ordersTo(HEAD)).containsNoDuplicates();
     }
 
+    @Test
+    void aKeeperThatTakesOverIsToldWhatTheFormerOneHasStaged() {
+        engines = List.of(withState(member("e0", 0), MemberState.OPEN), withState(member("e1", 1), MemberState.READY));
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.STARTED));
+        tick(Duration.ZERO);
+        tick(SETTLED);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Stage.class);
+
+        stagedElsewhere = keeper.staging(clock.now());
+        assertThat(stagedElsewhere).containsExactly("e0/1", "large", "e1/1", "large");
+        keeper = newKeeper();
+        tick(Duration.ZERO);
+        tick(SETTLED);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Stage.class);
+    }
+
     @Test
     void aHostThatIsAtAnotherLoadIsNotAskedToStageAgain() throws Exception {
         engines = List.of(withState(member("e0", 0), MemberState.OPEN), withState(member("e1", 1), MemberState.READY));
