--- a/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
@@ -39,9 +39,9 @@
     private final Map<BackendServer.Lifetime, UnderWay> underWay = new HashMap<>();
     private final Map<BackendServer.Lifetime, String> elsewhere = new HashMap<>();
 
-    private record UnderWay(String model, Moment since, Moment until) {
+    private record UnderWay(String model, Moment until) {
         static UnderWay of(EngineModel model, Moment now) {
-            return new UnderWay(model.name(), now, now.plus(model.loadTime().multipliedBy(PATIENCE)));
+            return new UnderWay(model.name(), now.plus(model.loadTime().multipliedBy(PATIENCE)));
         }
     }
 
@@ -92,12 +92,12 @@
 
     /** Leaves a host that refused to stage alone for a while. */
     void refused(BackendServer.Lifetime engine, Moment until) {
-        underWay.put(engine, new UnderWay(UNKNOWN_MODEL, until.minus(STAGING_TIME), until));
+        underWay.put(engine, new UnderWay(UNKNOWN_MODEL, until));
     }
 
     /** Notes that a host stages what another keeper has ordered. */
     void unknownUnderWay(BackendServer.Lifetime engine, Moment now) {
-        underWay.put(engine, new UnderWay(UNKNOWN_MODEL, now, now.plus(STAGING_TIME)));
+        underWay.put(engine, new UnderWay(UNKNOWN_MODEL, now.plus(STAGING_TIME)));
     }
 
     /**
@@ -119,12 +119,13 @@
         List<FormationAction> actions = new ArrayList<>();
         int half = view.profile().loadsAtOnce() / 2;
         for (StagingPlanner.Batch b : batches) {
-            int reserved = b.forGroup() ? Math.min(b.servers().size(), half) - 1 : half;
+            // A group begins to load once most of it can; loads for no group leave half of the weight store to others.
+            int leftFree = b.forGroup() ? Math.min(b.servers().size(), half) - 1 : half;
             for (BackendServer s : b.servers()) {
-                if (actions.size() >= loads || room(view, now) <= reserved) {
+                if (actions.size() >= loads || room(view, now) <= leftFree) {
                     break;
                 }
-                reserved = b.forGroup() ? 0 : half;
+                leftFree = b.forGroup() ? 0 : half;
                 underWay.put(s.lifetime(), UnderWay.of(b.model(), now));
                 actions.add(new FormationAction.Stage(s, NO_GROUP, b.model().name(), "its domain lacks the model"));
             }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -287,7 +287,7 @@
                         configuration.get(),
                         fleet.servers(),
                         mesh.demand(context.dispatcher().demand(now), now),
-                        mesh.staging(),
+                        mesh.staging(now),
                         mesh.aliveEntries(now)),
                 now);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -104,6 +104,7 @@
         if (term.isEmpty()) {
             return;
         }
+        retain(inputs.servers());
         for (FleetService s : inputs.configuration().services()) {
             if (s.engine().isPresent()) {
                 decide(s, inputs, term.get(), now).forEach(a -> send(a, inputs.servers()));
@@ -111,6 +112,13 @@
         }
     }
 
+    private synchronized void retain(Collection<BackendServer> servers) {
+        Set<BackendServer.Lifetime> listed = new HashSet<>();
+        servers.forEach(s -> listed.add(s.lifetime()));
+        sequences.retain(listed);
+        refusedStaging.keySet().retainAll(listed);
+    }
+
     private synchronized List<FormationAction> decide(FleetService service, Inputs in, long term, Moment now) {
         lost.values().removeIf(until -> !now.isBefore(until));
         EngineProfile profile = service.engine().orElseThrow();
--- a/entry/src/main/java/org/baobabspindle/gateway/OrderSequences.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/OrderSequences.java
@@ -16,6 +16,12 @@
     private final Map<BackendServer.Lifetime, Long> begun = new HashMap<>();
     private final Set<BackendServer.Lifetime> doubted = new HashSet<>();
 
+    /** Forgets engines that are not listed any more; one that comes back is asked or starts anew. */
+    synchronized void retain(Set<BackendServer.Lifetime> listed) {
+        begun.keySet().retainAll(listed);
+        doubted.retainAll(listed);
+    }
+
     /** Returns the number to expect; empty if the engine must be asked. */
     synchronized OptionalLong expected(BackendServer server) {
         Long known = begun.get(server.lifetime());
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -24,6 +24,9 @@
 
 /** The other entries: who they are, which of them answer, and what they tell. */
 final class PeerMesh {
+    /** The loads that an entry had begun are over this long after it was last heard; three of the longest. */
+    private static final Duration LOADS_OVER = Duration.ofSeconds(48);
+
     /** The wait for an answer of another entry; a few times the way between regions. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(800);
 
@@ -208,12 +211,16 @@
     }
 
     /**
-     * Returns the models that engines stage on orders of other entries, also of those that do not answer: an entry that ends
-     * does not end the loads it has begun.
+     * Returns the models that engines stage on orders of other entries, for a while also of those that do not answer any more:
+     * an entry that ends does not end the loads it has begun.
      */
-    synchronized Map<String, String> staging() {
+    synchronized Map<String, String> staging(Moment now) {
         Map<String, String> result = new HashMap<>();
-        peers.values().forEach(p -> result.putAll(p.staging));
+        for (Peer p : peers.values()) {
+            if (p.heardAt.filter(h -> now.since(h).compareTo(LOADS_OVER) <= 0).isPresent()) {
+                result.putAll(p.staging);
+            }
+        }
         return result;
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/OrderSequencesTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/OrderSequencesTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.Optional;
+import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.ServerState;
 import org.baobabspindle.core.id.AvailabilityZone;
@@ -49,4 +50,14 @@
         sequences.reported(e.lifetime(), 1);
         assertThat(sequences.expected(e)).hasValue(1);
     }
+
+    @Test
+    void anEngineThatIsGoneIsForgotten() {
+        BackendServer e = engine(Optional.of("large"));
+        sequences.reported(e.lifetime(), 4);
+        sequences.retain(Set.of(e.lifetime()));
+        assertThat(sequences.expected(e)).hasValue(4);
+        sequences.retain(Set.of());
+        assertThat(sequences.expected(e)).isEmpty();
+    }
 }
