--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -18,9 +18,6 @@
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.GroupMembership;
 import org.baobabspindle.core.fleet.MemberState;
-import org.baobabspindle.core.fleet.ServerState;
-import org.baobabspindle.core.id.AvailabilityZone;
-import org.baobabspindle.core.id.FabricDomain;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
@@ -60,7 +57,7 @@
                 Map.of(),
                 true,
                 new CallerLimits(8_000, 1_000_000, Duration.ofSeconds(5), Duration.ofSeconds(30)));
-        engines = List.of(member("e0", 0), member("e1", 1));
+        engines = List.of(member("e0", 0, MemberState.READY), member("e1", 1, MemberState.READY));
         platform = new FakePlatform(configuration, engines);
         Set<Integer> all = new HashSet<>();
         for (int i = 0; i < platform.settings().leasePartitions(); i++) {
@@ -78,37 +75,9 @@
         return new GroupKeeper(platform, platform.settings(), lease, clock, new EventLog(), new GatewayMetrics());
     }
 
-    private static BackendServer member(String id, int rank) {
-        return new BackendServer(
-                InstanceId.of(id),
-                "pool",
-                "127.0.0.1",
-                8080,
-                AvailabilityZone.of("z1"),
-                ServerState.READY,
-                12,
-                1,
-                Optional.of(FabricDomain.of("d1")),
-                Optional.of(SMALL.name()),
-                Optional.of(SMALL.name()),
-                Optional.of(new GroupMembership(KEY, rank, MemberState.READY)));
-    }
-
-    private static BackendServer withState(BackendServer s, MemberState state) {
-        GroupMembership m = s.group().orElseThrow();
-        return new BackendServer(
-                s.id(),
-                s.service(),
-                s.host(),
-                s.port(),
-                s.zone(),
-                s.state(),
-                s.slots(),
-                s.bornMillis(),
-                s.domain(),
-                s.model(),
-                s.staged(),
-                Optional.of(new GroupMembership(KEY, m.rank(), state)));
+    private static BackendServer member(String id, int rank, MemberState state) {
+        Optional<String> small = Optional.of(SMALL.name());
+        return TestEngines.engine(id, small, small, Optional.of(new GroupMembership(KEY, rank, state)));
     }
 
     /** Has the keeper decide; the engines are new to it at the first tick. */
@@ -148,7 +117,7 @@
 
     @Test
     void aKeeperThatTakesOverIsToldWhatTheFormerOneHasStaged() {
-        engines = List.of(withState(member("e0", 0), MemberState.OPEN), withState(member("e1", 1), MemberState.READY));
+        engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
         platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.STARTED));
         tick(Duration.ZERO);
         tick(SETTLED);
@@ -166,7 +135,7 @@
 
     @Test
     void aHostThatIsAtAnotherLoadIsNotAskedToStageAgain() throws Exception {
-        engines = List.of(withState(member("e0", 0), MemberState.OPEN), withState(member("e1", 1), MemberState.READY));
+        engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
         platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.CONFLICT));
         tick(Duration.ZERO);
         for (int i = 0; i < 20; i++) {
--- a/entry/src/test/java/org/baobabspindle/gateway/OrderSequencesTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/OrderSequencesTests.java
@@ -5,10 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.fleet.ServerState;
-import org.baobabspindle.core.id.AvailabilityZone;
-import org.baobabspindle.core.id.FabricDomain;
-import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.port.OrderAnswer;
 import org.junit.jupiter.api.Test;
 
@@ -16,19 +12,7 @@
     private final OrderSequences sequences = new OrderSequences();
 
     private static BackendServer engine(Optional<String> staged) {
-        return new BackendServer(
-                InstanceId.of("e0"),
-                "pool",
-                "127.0.0.1",
-                8080,
-                AvailabilityZone.of("z1"),
-                ServerState.READY,
-                12,
-                1,
-                Optional.of(FabricDomain.of("d1")),
-                Optional.empty(),
-                staged,
-                Optional.empty());
+        return TestEngines.engine("e0", Optional.empty(), staged, Optional.empty());
     }
 
     @Test
