--- a/entry/src/main/java/org/baobabspindle/node/EntryNode.java
+++ b/entry/src/main/java/org/baobabspindle/node/EntryNode.java
@@ -235,7 +235,6 @@
     @Override
     public void close() {
         loops.shutdownNow();
-        workers.shutdownNow();
         callerServer.close();
         peers.close();
         try {
@@ -244,6 +243,9 @@
             fresh.stop();
         } catch (Exception e) {
             throw new IllegalStateException("the entry did not stop cleanly", e);
+        } finally {
+            // The selectors of the peer server run on these workers; without them its stop waits forever.
+            workers.shutdownNow();
         }
     }
 }
