--- a/entry/src/main/java/org/baobabspindle/peer/PeerServer.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerServer.java
@@ -20,8 +20,11 @@
     /** New connections that wait to be accepted; all entries may come at once. */
     private static final int ACCEPT_QUEUE = 512;
 
-    /** Threads of the server's own; its connections use the workers. */
-    private static final int MAX_THREADS = 2;
+    /**
+     * Threads that select and read: one selector, one that takes over from it while it reads, and two to spare. They are not
+     * the workers, because a selector that loses its thread never ends its server's stop.
+     */
+    private static final int MAX_THREADS = 4;
 
     private final Server server;
     private final ServerConnector connector;
@@ -55,7 +58,7 @@
         own.setDaemon(true);
         Server server = new Server(own);
         ServerConnector connector =
-                new ServerConnector(server, workers, null, null, 0, 1, new Factory(workers, secret, answers, traffic));
+                new ServerConnector(server, null, null, null, 0, 1, new Factory(workers, secret, answers, traffic));
         connector.setHost(host);
         connector.setPort(port);
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
