--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -66,7 +66,17 @@
      * @param headers the headers of the caller
      * @param body the whole body
      */
-    record Message(String method, String pathAndQuery, String host, HttpFields headers, ByteBuffer body) {}
+    record Message(String method, String pathAndQuery, String host, HttpFields headers, ByteBuffer body) {
+        /** Returns what a caller sent. */
+        static Message of(org.eclipse.jetty.server.Request request, byte[] body) {
+            return new Message(
+                    request.getMethod(),
+                    request.getHttpURI().getPathQuery(),
+                    request.getHeaders().get("Host"),
+                    request.getHeaders(),
+                    ByteBuffer.wrap(body));
+        }
+    }
 
     /**
      * The headers that the gateway sets.
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -133,4 +133,10 @@
         Route r = route.orElseThrow();
         return WaitingPolicy.patience(receivedAt, r.targetLatency(), timeAllowed(r));
     }
+
+    /** A request that goes on elsewhere has been paid for in part; it waits for half of the time it has left. */
+    WaitingLine.Patience retryPatience(Moment now) {
+        Moment until = now.plus(Duration.ofMillis(Math.max(0, deadline.steadyMillisSince(now) / 2)));
+        return new WaitingLine.Patience(until, until);
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import org.baobabspindle.core.dispatch.Target;
 import org.baobabspindle.core.dispatch.TargetPool;
-import org.baobabspindle.core.dispatch.WaitingLine;
 import org.baobabspindle.core.fleet.Route;
 import org.baobabspindle.core.time.Moment;
 import org.eclipse.jetty.http.HttpFields;
@@ -26,10 +25,9 @@
 
     private final GatewayContext context;
     private final Request request;
-    private final Response response;
     private final Moment receivedAt;
     private final CallerAdmission admission;
-    private final CallerStream out;
+    private final CallerAnswer answer;
     private final Set<String> tried = new HashSet<>();
     private final ByteArrayOutputStream wholeBody = new ByteArrayOutputStream();
 
@@ -39,11 +37,6 @@
     private Optional<Target> target = Optional.empty();
     private EventSplitter splitter = new EventSplitter();
 
-    // What the caller gets: the status and headers of the first call whose answer was passed on.
-    private int status;
-    private HttpFields answerHeaders = HttpFields.EMPTY;
-    private boolean committed;
-
     // What the present call answers; a later call of a stream differs in its headers.
     private int callStatus;
     private HttpFields callHeaders = HttpFields.EMPTY;
@@ -53,7 +46,6 @@
     private boolean mayHaveRun;
     private int runs;
     private int refusals;
-    private long lastEventId = -1;
     private long waitedMillis;
     private Moment waitingSince;
     private Moment sentAt;
@@ -61,11 +53,10 @@
     CallerExchange(GatewayContext context, Request request, Response response, Callback callback, Moment now) {
         this.context = context;
         this.request = request;
-        this.response = response;
         this.receivedAt = now;
         this.waitingSince = now;
         this.admission = new CallerAdmission(context, request, now);
-        this.out = new CallerStream(response, callback, this::callerGone);
+        this.answer = new CallerAnswer(context, response, new CallerStream(response, callback, this::callerGone));
     }
 
     /** Judges the request, whose body has been read, and looks for a target. */
@@ -92,8 +83,8 @@
             waitingSince = now;
             t = new Dispatcher.Ticket(
                     admission.pool().orElseThrow(),
-                    committed ? 0 : admission.priority(),
-                    runs + refusals > 0 ? retryPatience(now) : admission.patience(),
+                    answer.committed() ? 0 : admission.priority(),
+                    runs + refusals > 0 ? admission.retryPatience(now) : admission.patience(),
                     tried,
                     this::run,
                     this::waitedInVain);
@@ -102,13 +93,6 @@
         context.dispatcher().submit(t, now);
     }
 
-    /** A request that goes on elsewhere has been paid for in part; it waits for half of the time it has left. */
-    private WaitingLine.Patience retryPatience(Moment now) {
-        Moment until =
-                now.plus(Duration.ofMillis(Math.max(0, admission.deadline().steadyMillisSince(now) / 2)));
-        return new WaitingLine.Patience(until, until);
-    }
-
     /** Sends the request to a target; what could have changed while it waited is checked again. */
     private void run(Target t) {
         Moment now = context.clock().now();
@@ -130,7 +114,8 @@
             callStatus = 0;
             callHeaders = HttpFields.EMPTY;
             splitter = new EventSplitter();
-            next = new BackendCall(context.client(), t, message(), stamped(now), context.names(), this);
+            next = new BackendCall(
+                    context.client(), t, BackendCall.Message.of(request, body), stamped(now), context.names(), this);
             call = Optional.of(next);
         }
         context.dispatcher().sent(t, admission.streaming(), now);
@@ -144,18 +129,10 @@
         return admission.judgeKey(now);
     }
 
-    private BackendCall.Message message() {
-        return new BackendCall.Message(
-                request.getMethod(),
-                request.getHttpURI().getPathQuery(),
-                request.getHeaders().get("Host"),
-                request.getHeaders(),
-                ByteBuffer.wrap(body));
-    }
-
     private BackendCall.Stamped stamped(Moment now) {
         String stated = request.getHeaders().get(context.names().lastEventId());
-        String lastEvent = lastEventId >= 0 ? String.valueOf(lastEventId) : stated == null ? "" : stated;
+        long last = answer.lastEventId();
+        String lastEvent = last >= 0 ? String.valueOf(last) : stated == null ? "" : stated;
         return new BackendCall.Stamped(
                 Math.max(1, admission.deadline().steadyMillisSince(now)),
                 admission.account().map(a -> a.account().value()).orElse(""),
@@ -171,10 +148,7 @@
             }
             callStatus = newStatus;
             callHeaders = headers;
-            if (!committed) {
-                status = newStatus;
-                answerHeaders = headers;
-            }
+            answer.head(newStatus, headers);
             wholeBody.reset();
         }
     }
@@ -199,7 +173,7 @@
             for (EventSplitter.Event e : splitter.split(bytes)) {
                 context.dispatcher().event(target.orElseThrow(), !callStarted, now);
                 callStarted = true;
-                if (!forward(e)) {
+                if (!answer.event(e)) {
                     from.cancel("events are missing");
                     return;
                 }
@@ -207,38 +181,6 @@
         }
     }
 
-    /** Writes an event unless the caller has it; returns false if events before it are missing. */
-    private boolean forward(EventSplitter.Event e) {
-        if (e.id().isPresent()) {
-            long id = e.id().getAsLong();
-            if (committed && id <= lastEventId) {
-                return true;
-            }
-            if (committed && lastEventId >= 0 && id > lastEventId + 1) {
-                return false;
-            }
-            lastEventId = id;
-        }
-        if (!committed) {
-            commit();
-        }
-        out.write(e.bytes());
-        return true;
-    }
-
-    private void commit() {
-        committed = true;
-        response.setStatus(status);
-        copyHeaders();
-    }
-
-    private void copyHeaders() {
-        AnswerHeaders.copy(answerHeaders, response.getHeaders());
-        if (context.stopping().begun()) {
-            response.getHeaders().put("Connection", "close");
-        }
-    }
-
     @Override
     public void ended(BackendCall from, BackendCall.End end, String detail) {
         Moment now = context.clock().now();
@@ -295,7 +237,7 @@
         runs++;
         mayHaveRun = true;
         if (end == BackendCall.End.COMPLETE && answerable()) {
-            return answer(now);
+            return deliver(now);
         }
         String why = end == BackendCall.End.COMPLETE ? "status " + callStatus + " is not the whole answer" : detail;
         return admission.route().orElseThrow().repeatable()
@@ -309,7 +251,7 @@
 
     private boolean answerable() {
         boolean stream = admission.streaming() && callStatus == 200;
-        boolean whole = stream ? !splitter.withinEvent() : !committed;
+        boolean whole = stream ? !splitter.withinEvent() : !answer.committed();
         return whole && callHeaders.contains(context.names().stamp());
     }
 
@@ -328,7 +270,8 @@
 
     private void logRetry(String why) {
         String after = target.map(Target::key).orElse("");
-        context.log().write("retry", why, "request", id(), "after", after, "runs", runs, "lastEvent", lastEventId);
+        context.log()
+                .write("retry", why, "request", id(), "after", after, "runs", runs, "lastEvent", answer.lastEventId());
     }
 
     private Next giveUp(Refusal refusal, String why, Moment now) {
@@ -336,27 +279,21 @@
         return Next.NOTHING;
     }
 
-    private Next answer(Moment now) {
-        boolean retryServerError = status >= 500
+    private Next deliver(Moment now) {
+        boolean retryServerError = answer.status() >= 500
                 && admission.route().orElseThrow().repeatable()
-                && !committed
+                && !answer.committed()
                 && runs < admission.route().orElseThrow().maxAttempts()
                 && now.isBefore(admission.deadline())
                 && context.dispatcher().tryRetry(service(), context.entries(), now);
         if (retryServerError) {
-            logRetry("the backend server answered with status " + status);
+            logRetry("the backend server answered with status " + answer.status());
             return Next.SEEK;
         }
         over = true;
-        if (!committed) {
-            commit();
-            if (!admission.streaming() || status != 200) {
-                response.getHeaders().put("Content-Length", wholeBody.size());
-                out.write(ByteBuffer.wrap(wholeBody.toByteArray()));
-            }
-        }
-        out.finish();
-        finished("answered", "", status, now);
+        boolean streamed = admission.streaming() && answer.status() == 200;
+        answer.finish(streamed ? Optional.empty() : Optional.of(wholeBody.toByteArray()));
+        finished("answered", "", answer.status(), now);
         return Next.NOTHING;
     }
 
@@ -367,20 +304,12 @@
         }
         over = true;
         withdraw();
-        if (committed) {
-            out.abort(why);
-            finished("cut", refusal + ": " + why, status, now);
+        if (answer.committed()) {
+            answer.abort(why);
+            finished("cut", refusal + ": " + why, answer.status(), now);
             return;
         }
-        response.setStatus(refusal.status());
-        if (refusal.mayReturn()) {
-            response.getHeaders().put("Retry-After", context.retryAfter(refusal));
-        }
-        if (context.stopping().begun()) {
-            response.getHeaders().put("Connection", "close");
-        }
-        response.getHeaders().put("Content-Length", 0L);
-        out.finish();
+        answer.refuse(refusal);
         finished("refused", refusal + (why.isEmpty() ? "" : ": " + why), refusal.status(), now);
     }
 
@@ -409,7 +338,7 @@
             withdraw();
             finished("left", "the caller closed the connection", 0, now);
         }
-        out.abort("the caller has left");
+        answer.abort("the caller has left");
     }
 
     /** Looks after the request while nothing else happens: time and the caller's connection. */
