--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -28,18 +28,6 @@
  * <p>An engine is free only once the head of its former group is known to have left it, to be broken or to be gone.
  */
 public final class Formation {
-    /** How long an order is awaited before it is sent again; several times a calm answer with the report after it. */
-    private static final Duration ORDER_PATIENCE = Duration.ofMillis(600);
-
-    /** The age of an engine's report; half more than the engines' documented figure. */
-    private static final Duration REPORT_LAG = Duration.ofMillis(300);
-
-    /** How long a draining member's head may finish what it has; engines wait that long for it. */
-    private static final Duration CLOSE_PATIENCE = Duration.ofSeconds(10);
-
-    /** How long a head that left the list without notice may finish what it has; most requests are over by then. */
-    private static final Duration GONE_PATIENCE = Duration.ofSeconds(3);
-
     /** Groups that may be closing when another conversion begins; those of one conversion. */
     private static final int MOST_CLOSING = 2;
 
@@ -48,8 +36,8 @@
 
     private final Map<GroupKey, Forming> forming = new HashMap<>();
     private final Map<GroupKey, Moment> released = new HashMap<>();
-    private final Map<GroupKey, Moment> closing = new HashMap<>();
-    private final Map<OrderKey, Moment> ordered = new HashMap<>();
+    private final SentOrders orders = new SentOrders();
+    private final Dissolution dissolution = new Dissolution(orders);
     private final HostStaging staging = new HostStaging();
     private final Conversions conversions = new Conversions();
     private Set<BackendServer.Lifetime> known = Set.of();
@@ -58,12 +46,6 @@
     /** Creates decisions that know of no group. */
     public Formation() {}
 
-    private record OrderKey(BackendServer.Lifetime server, GroupKey group, Class<?> kind) {
-        static OrderKey of(FormationAction action) {
-            return new OrderKey(action.server().lifetime(), action.key(), action.getClass());
-        }
-    }
-
     /**
      * What a keeper knows when it decides.
      *
@@ -168,7 +150,8 @@
             orderJoins(f.plan(), g.key(), view, now, "the join is not yet reported", actions);
             return true;
         }
-        return dissolve(g, view, now, actions);
+        forming.remove(g.key());
+        return dissolution.keepsMembers(g, view, now, actions);
     }
 
     private Optional<String> plannedModel(GroupKey key) {
@@ -178,76 +161,17 @@
     private void open(GroupView g, Moment now, List<FormationAction> actions) {
         BackendServer head = g.head().orElseThrow();
         if (g.all(MemberState.READY) && conversions.isDonor(g.key())) {
-            order(new FormationAction.Leave(head, g.key(), "another model needs its engines"), now, actions);
+            orders.add(new FormationAction.Leave(head, g.key(), "another model needs its engines"), now, actions);
         } else if (g.all(MemberState.READY)) {
-            order(new FormationAction.Open(head, g.key(), "all members are ready"), now, actions);
+            orders.add(new FormationAction.Open(head, g.key(), "all members are ready"), now, actions);
         } else if (head.group().orElseThrow().state() == MemberState.OPEN) {
             if (conversions.isDonor(g.key())) {
-                order(new FormationAction.Close(head, g.key(), "another model needs its engines"), now, actions);
+                orders.add(new FormationAction.Close(head, g.key(), "another model needs its engines"), now, actions);
             }
             forming.remove(g.key());
         }
     }
 
-    /** Returns whether the members stay bound because the head may still hold work. */
-    private boolean dissolve(GroupView g, View view, Moment now, List<FormationAction> actions) {
-        forming.remove(g.key());
-        if (released.containsKey(g.key())) {
-            return false;
-        }
-        if (g.head().isEmpty()) {
-            return headMayServe(g, view, now, actions);
-        }
-        BackendServer head = g.head().get();
-        MemberState state = head.group().orElseThrow().state();
-        if (state == MemberState.BROKEN) {
-            return false;
-        }
-        boolean memberLost =
-                g.members().values().stream().anyMatch(s -> view.lost().contains(s.lifetime()));
-        boolean memberLeaves = g.members().values().stream().anyMatch(s -> !s.ready());
-        if (state.holdsWork() && memberLeaves && !memberLost && wholeButLeaving(g, view)) {
-            Moment since = closing.computeIfAbsent(g.key(), k -> now);
-            if (now.isBefore(since.plus(CLOSE_PATIENCE))) {
-                if (state == MemberState.OPEN) {
-                    order(new FormationAction.Close(head, g.key(), "a member leaves"), now, actions);
-                }
-                return true;
-            }
-        }
-        order(new FormationAction.Leave(head, g.key(), "the group is not whole"), now, actions);
-        return true;
-    }
-
-    /**
-     * Returns whether a head that the list no longer shows in its group may still serve. A head that started anew or joined
-     * another group does not. One that is gone from the list may be cut off from the store alone, so it is told to leave.
-     */
-    private boolean headMayServe(GroupView g, View view, Moment now, List<FormationAction> actions) {
-        BackendServer member = g.members().firstEntry().getValue();
-        Optional<BackendServer> named = GroupName.head(g.key(), member);
-        if (named.isEmpty()
-                || view.engines().stream()
-                        .anyMatch(s -> s.id().equals(named.get().id()))) {
-            return false;
-        }
-        BackendServer head = named.get();
-        Moment since = closing.computeIfAbsent(g.key(), k -> now);
-        if (!view.lost().contains(head.lifetime()) && now.isBefore(since.plus(GONE_PATIENCE))) {
-            order(new FormationAction.Close(head, g.key(), "the head is gone from the list"), now, actions);
-            return true;
-        }
-        order(new FormationAction.Leave(head, g.key(), "the head is gone from the list"), now, actions);
-        return true;
-    }
-
-    private static boolean wholeButLeaving(GroupView g, View view) {
-        return g.model()
-                .flatMap(view.profile()::model)
-                .map(m -> g.whole(m.groupSize(), s -> true))
-                .orElse(false);
-    }
-
     /** Counts groups whose members have not reported anything yet, and keeps their engines from being used elsewhere. */
     private void countUnseen(
             View view,
@@ -302,7 +226,7 @@
                     .filter(s -> s.group()
                             .filter(m -> m.head() && m.key().equals(donor))
                             .isPresent())
-                    .forEach(s -> order(
+                    .forEach(s -> orders.add(
                             new FormationAction.Close(
                                     s, donor, chosen.get().model().name() + " is short of groups"),
                             now,
@@ -344,7 +268,7 @@
                 if (plan.isEmpty()) {
                     break;
                 }
-                int needed = loadsOf(plan.get());
+                int needed = plan.get().loads();
                 if (needed > loads) {
                     break;
                 }
@@ -370,20 +294,6 @@
                         .isPresent();
     }
 
-    /**
-     * Counts the loads from the weight store that a plan begins.
-     *
-     * @param plan the plan
-     * @return the engines that hold the weights neither in their last group nor on their host
-     */
-    public static int loadsOf(GroupPlanner.Plan plan) {
-        int loads = 0;
-        for (BackendServer s : plan.members()) {
-            loads += GroupPlanner.joinTime(plan.model(), s).equals(plan.model().loadTime()) ? 1 : 0;
-        }
-        return loads;
-    }
-
     /** Orders the joins of the members that do not report the group yet. */
     private void orderJoins(
             GroupPlanner.Plan plan, GroupKey key, View view, Moment now, String reason, List<FormationAction> actions) {
@@ -392,21 +302,11 @@
                     .filter(s -> s.lifetime().equals(m.lifetime()))
                     .noneMatch(s -> s.group().map(GroupMembership::key).equals(Optional.of(key)));
             if (pending) {
-                order(new FormationAction.Join(m, key, plan.model().name(), plan.members(), reason), now, actions);
+                orders.add(new FormationAction.Join(m, key, plan.model().name(), plan.members(), reason), now, actions);
             }
         }
     }
 
-    private void order(FormationAction action, Moment now, List<FormationAction> actions) {
-        OrderKey key = OrderKey.of(action);
-        Moment before = ordered.get(key);
-        if (before != null && now.isBefore(before.plus(ORDER_PATIENCE))) {
-            return;
-        }
-        ordered.put(key, now);
-        actions.add(action);
-    }
-
     /**
      * Notes that the head of a group has left it, so that its members are free.
      *
@@ -433,7 +333,7 @@
      * @param action the order that the engine did not get
      */
     public void notSent(FormationAction action) {
-        ordered.remove(OrderKey.of(action));
+        orders.forget(action);
         if (action instanceof FormationAction.Stage) {
             staging.forget(action.server().lifetime());
         }
@@ -446,9 +346,9 @@
      * @param now the present time
      */
     public void refused(FormationAction action, Moment now) {
-        ordered.put(OrderKey.of(action), now.plus(REPORT_LAG).minus(ORDER_PATIENCE));
+        Moment again = orders.refused(action, now);
         if (action instanceof FormationAction.Stage) {
-            staging.refused(action.server().lifetime(), now.plus(REPORT_LAG));
+            staging.refused(action.server().lifetime(), again);
         }
     }
 
@@ -483,8 +383,8 @@
     private void expire(Moment now) {
         Moment old = now.minus(Duration.ofMinutes(1));
         released.values().removeIf(m -> m.isBefore(old));
-        closing.values().removeIf(m -> m.isBefore(old));
+        dissolution.expire(old);
         conversions.expire(now);
-        ordered.values().removeIf(m -> m.isBefore(old));
+        orders.expire(old);
     }
 }
--- a/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupPlanner.java
@@ -39,6 +39,19 @@
         public Plan {
             members = List.copyOf(members);
         }
+
+        /**
+         * Counts the loads from the weight store that the group begins.
+         *
+         * @return the members that hold the weights neither in their last group nor on their host
+         */
+        public int loads() {
+            int loads = 0;
+            for (BackendServer s : members) {
+                loads += joinTime(model, s).equals(model.loadTime()) ? 1 : 0;
+            }
+            return loads;
+        }
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -163,7 +163,7 @@
                 loads.begun(1, now);
             } else if (a instanceof FormationAction.Join j) {
                 EngineModel m = profile.model(j.model()).orElseThrow();
-                loads.begun(Formation.loadsOf(new GroupPlanner.Plan(m, List.of(j.server()), m.loadTime())), now);
+                loads.begun(new GroupPlanner.Plan(m, List.of(j.server()), m.loadTime()).loads(), now);
             }
         }
     }
