--- a/core/src/test/java/org/baobabspindle/core/formation/Engines.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/Engines.java
@@ -42,19 +42,8 @@
     }
 
     public static BackendServer member(BackendServer s, GroupKey key, int rank, EngineModel model, MemberState state) {
-        return new BackendServer(
-                s.id(),
-                s.service(),
-                s.host(),
-                s.port(),
-                s.zone(),
-                s.state(),
-                s.slots(),
-                s.bornMillis(),
-                s.domain(),
-                Optional.of(model.name()),
-                Optional.of(model.equals(LARGE) ? SMALL.name() : LARGE.name()),
-                Optional.of(new GroupMembership(key, rank, state)));
+        Optional<String> other = Optional.of(model.equals(LARGE) ? SMALL.name() : LARGE.name());
+        return copy(s, s.state(), Optional.of(model.name()), other, Optional.of(new GroupMembership(key, rank, state)));
     }
 
     /** Returns a free engine whose host holds a model and that has been in no group since its start. */
@@ -64,34 +53,31 @@
 
     /** Returns an engine whose host holds a model, whatever its last group was. */
     public static BackendServer staging(BackendServer s, EngineModel model) {
-        return new BackendServer(
-                s.id(),
-                s.service(),
-                s.host(),
-                s.port(),
-                s.zone(),
-                s.state(),
-                s.slots(),
-                s.bornMillis(),
-                s.domain(),
-                s.model(),
-                Optional.of(model.name()),
-                s.group());
+        return copy(s, s.state(), s.model(), Optional.of(model.name()), s.group());
     }
 
     public static BackendServer draining(BackendServer s) {
+        return copy(s, ServerState.DRAINING, s.model(), s.staged(), s.group());
+    }
+
+    private static BackendServer copy(
+            BackendServer s,
+            ServerState state,
+            Optional<String> model,
+            Optional<String> staged,
+            Optional<GroupMembership> group) {
         return new BackendServer(
                 s.id(),
                 s.service(),
                 s.host(),
                 s.port(),
                 s.zone(),
-                ServerState.DRAINING,
+                state,
                 s.slots(),
                 s.bornMillis(),
                 s.domain(),
-                s.model(),
-                s.staged(),
-                s.group());
+                model,
+                staged,
+                group);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTestSupport.java
@@ -0,0 +1,74 @@
+package org.baobabspindle.core.formation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.time.Moment;
+
+/** Decisions over engines and groups that tests make up. */
+abstract class FormationTestSupport {
+    static final Moment START = new Moment(0, 0);
+    static final GroupKey KEY = GroupName.of(1, Engines.free("e0", "d1"), "small");
+    static final GroupKey LARGE_KEY = GroupName.of(1, Engines.free("e0", "d1"), "large");
+
+    final Formation formation = new Formation();
+    final Set<BackendServer.Lifetime> lost = new HashSet<>();
+    final Map<BackendServer.Lifetime, String> stagedElsewhere = new HashMap<>();
+    Set<String> others = Set.of();
+    Map<String, Double> demand = Map.of();
+    long epochs = 100;
+    boolean beforeRequests;
+
+    List<FormationAction> decide(Collection<BackendServer> engines, Moment now) {
+        ModelDemand wanted =
+                demand.isEmpty() ? ModelDemand.expected(Engines.PROFILE, engines.size()) : ModelDemand.of(demand);
+        return formation.decide(
+                new Formation.View(
+                        Engines.PROFILE,
+                        engines,
+                        Set.copyOf(lost),
+                        d -> !others.contains(d.value()),
+                        wanted,
+                        () -> ++epochs,
+                        Map.copyOf(stagedElsewhere),
+                        100,
+                        beforeRequests),
+                now);
+    }
+
+    static List<Class<?>> kinds(List<FormationAction> actions) {
+        List<Class<?>> kinds = new ArrayList<>();
+        actions.forEach(a -> kinds.add(a.getClass()));
+        return kinds;
+    }
+
+    static Moment at(long millis) {
+        return START.plus(Duration.ofMillis(millis));
+    }
+
+    static List<BackendServer> domain(int size) {
+        List<BackendServer> engines = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            engines.add(Engines.free("e" + i, "d1"));
+        }
+        return engines;
+    }
+
+    static List<BackendServer> group(EngineModel model, MemberState head, MemberState others) {
+        GroupKey key = model.equals(Engines.SMALL) ? KEY : LARGE_KEY;
+        List<BackendServer> engines = new ArrayList<>();
+        for (int i = 0; i < model.groupSize(); i++) {
+            engines.add(Engines.member(Engines.free("e" + i, "d1"), key, i, model, i == 0 ? head : others));
+        }
+        return engines;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/HostStagingTests.java
@@ -0,0 +1,97 @@
+package org.baobabspindle.core.formation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.junit.jupiter.api.Test;
+
+/** Many engines without weights at a time, as after a release beside losses. */
+class HostStagingTests extends FormationTestSupport {
+    private List<BackendServer> empty(String domain, int count) {
+        List<BackendServer> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(Engines.free(domain + "-empty" + i, domain));
+        }
+        return engines;
+    }
+
+    private List<BackendServer> holdingLarge(String domain, int count) {
+        List<BackendServer> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(Engines.holding(Engines.free(domain + "-large" + i, domain), Engines.LARGE));
+        }
+        return engines;
+    }
+
+    @Test
+    void noMoreHostsStageThanTheWeightStoreServesAtFullSpeed() {
+        List<BackendServer> engines = new ArrayList<>(empty("d1", 8));
+        engines.addAll(empty("d2", 8));
+        int first = decide(engines, START).size();
+        int second = decide(engines, at(5_000)).size();
+        assertThat(first).isGreaterThan(0);
+        assertThat(first + second).isAtMost(Engines.PROFILE.loadsAtOnce());
+    }
+
+    @Test
+    void whatOtherKeepersHaveOrderedCounts() {
+        List<BackendServer> engines = new ArrayList<>(empty("d1", 8));
+        for (int i = 0; i < Engines.PROFILE.loadsAtOnce(); i++) {
+            BackendServer other = Engines.free("other" + i, "d9");
+            stagedElsewhere.put(other.lifetime(), "large");
+            engines.add(other);
+        }
+        others = Set.of("d9");
+        assertThat(decide(engines, START)).isEmpty();
+    }
+
+    @Test
+    void theGroupThatLacksLeastComesFirst() {
+        List<BackendServer> engines = new ArrayList<>(empty("d1", 8));
+        engines.addAll(empty("d2", 1));
+        engines.addAll(holdingLarge("d2", 3));
+        demand = Map.of("large", 30.0, "small", 10.0);
+        FormationAction first = decide(engines, START).get(0);
+        assertThat(first.server().id().value()).isEqualTo("d2-empty0");
+        assertThat(((FormationAction.Stage) first).model()).isEqualTo("large");
+    }
+
+    @Test
+    void aDomainThatIsTakenOverDoesNotStageAgainWhatItsFormerKeeperOrdered() {
+        List<BackendServer> engines = new ArrayList<>(empty("d1", 1));
+        engines.addAll(holdingLarge("d1", 3));
+        stagedElsewhere.put(engines.get(0).lifetime(), "large");
+        assertThat(decide(engines, START)).isEmpty();
+        stagedElsewhere.clear();
+        assertThat(decide(engines, at(1_000))).isEmpty();
+    }
+
+    @Test
+    void whatIsStagedInTheEndCountsNoLonger() {
+        List<BackendServer> engines = new ArrayList<>(empty("d1", 8));
+        assertThat(decide(engines, START)).isNotEmpty();
+        Map<BackendServer.Lifetime, String> staging = formation.staging(START);
+        assertThat(staging).isNotEmpty();
+        engines.replaceAll(s -> Optional.ofNullable(staging.get(s.lifetime()))
+                .flatMap(Engines.PROFILE::model)
+                .map(m -> Engines.holding(s, m))
+                .orElse(s));
+        decide(engines, at(1_000));
+        assertThat(formation.staging(at(1_000)).keySet()).containsNoneIn(staging.keySet());
+    }
+
+    @Test
+    void anOrderToStageThatTheEngineDidNotGetIsDecidedAgain() {
+        List<BackendServer> engines = new ArrayList<>(empty("d1", 1));
+        engines.addAll(holdingLarge("d1", 3));
+        FormationAction stage = decide(engines, START).get(0);
+        assertThat(decide(engines, at(100))).isEmpty();
+        formation.notSent(stage);
+        assertThat(kinds(decide(engines, at(200)))).containsExactly(FormationAction.Stage.class);
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -223,7 +223,7 @@
 
     /** Returns whether this entry reads the store at short intervals: a keeper does, and one that has not read it yet. */
     private boolean readsOften() {
-        return !fleet.complete() || lease.granted();
+        return !fleet.complete() || lease.holdsAny();
     }
 
     private interface PageSink {
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -197,7 +197,7 @@
         if (known.isPresent()) {
             engines.order(server, order, known, ORDER_TIMEOUT).thenAccept(a -> {
                 if (a == OrderAnswer.CONFLICT && order instanceof EngineOrder.Stage) {
-                    refusedStaging(server.lifetime(), known.getAsLong());
+                    noteRefusedStaging(server.lifetime(), known.getAsLong());
                 }
                 answered(action, order, a, servers);
             });
@@ -239,7 +239,7 @@
     }
 
     /** Notes the number at which an engine refused to stage: if it still reports that one, its host is at another load. */
-    private synchronized void refusedStaging(BackendServer.Lifetime server, long sequence) {
+    private synchronized void noteRefusedStaging(BackendServer.Lifetime server, long sequence) {
         refusedStaging.put(server, sequence);
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
@@ -113,7 +113,7 @@
     }
 
     /** Returns whether this entry was granted any partition when it last renewed the lease. */
-    synchronized boolean granted() {
+    synchronized boolean holdsAny() {
         return !partitions.isEmpty();
     }
 
