The peer client selects on threads of its own, so that its stop never waits for ended workers

Cause: PeerClient gave its connector the shared workers. Where these had ended before the client was closed, the selector had lost its thread and ClientConnector.stop() waited for it.

--- a/entry/src/main/java/org/baobabspindle/peer/PeerClient.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerClient.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.Transport;
 import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Asks other entries, over one connection to each that is opened when first needed. */
 public final class PeerClient implements AutoCloseable {
@@ -24,6 +25,12 @@
     /** The time in which the other side must send its challenge; the same as it gives for the proof. */
     private static final Duration PROOF_TIMEOUT = Duration.ofSeconds(2);
 
+    /**
+     * Threads that connect and select: one selector, one that takes over from it while it reads, and two to spare. They are
+     * not the workers, because a selector that loses its thread never ends its connector's stop.
+     */
+    private static final int MAX_THREADS = 4;
+
     private final Incarnation self;
     private final Function<PeerAddress, PeerSecret> secrets;
     private final Executor executor;
@@ -57,7 +64,9 @@
         this.secrets = secrets;
         this.executor = executor;
         this.traffic = traffic;
-        connector.setExecutor(executor);
+        QueuedThreadPool own = new QueuedThreadPool(MAX_THREADS, 1);
+        own.setDaemon(true);
+        connector.setExecutor(own);
         connector.setSelectors(1);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         connector.setIdleTimeout(Duration.ZERO);
--- a/entry/src/test/java/org/baobabspindle/peer/PeerStopTests.java
+++ b/entry/src/test/java/org/baobabspindle/peer/PeerStopTests.java
@@ -17,7 +17,7 @@
     private final PeerSecret secret = new PeerSecret("a-secret-for-tests");
     private final PeerTraffic traffic = new PeerTraffic();
 
-    @RepeatedTest(5)
+    @RepeatedTest(50)
     @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aServerEndsAlsoWhenItsWorkersHaveEndedBefore() throws Exception {
         ExecutorService workers = Executors.newCachedThreadPool();
@@ -33,7 +33,7 @@
         }
     }
 
-    @RepeatedTest(5)
+    @RepeatedTest(50)
     @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aClientEndsAlsoWhenItsWorkersHaveEndedBefore() throws Exception {
         ExecutorService workers = Executors.newCachedThreadPool();
