Groups by a plan for the whole fleet, in place of the greedy choice, conversions one at a time and staging by domain

FleetPlanner chooses a division for each domain so that a concave value of slots against demand, less the cost of the change, is largest; engines are reserved for the groups planned, spares hold the large model. Tests: losses of joined members, a dark domain, conversion back, five shapes, both policies. RebalancerTests live on as ConversionTests. Two staging tests state their demand now: the plan weighs by it, and the expected one wants small groups there.

--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/formation/FleetPlan.java
@@ -0,0 +1,71 @@
+package org.baobabspindle.core.formation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.id.FabricDomain;
+
+/**
+ * The groups that a fleet should consist of and how each domain gets there.
+ *
+ * @param domains the plans of the domains, by domain
+ */
+record FleetPlan(List<DomainPlan> domains) {
+    FleetPlan {
+        domains = List.copyOf(domains);
+    }
+
+    /**
+     * What becomes of one domain.
+     *
+     * @param state the domain as it is
+     * @param donors the groups that give their engines to groups of another model
+     * @param groups the groups to form, the largest first; their members may still have to leave another group
+     * @param spares the engines that no group needs
+     */
+    record DomainPlan(
+            DomainState state, List<GroupKey> donors, List<GroupPlanner.Plan> groups, List<BackendServer> spares) {
+        DomainPlan {
+            donors = List.copyOf(donors);
+            groups = List.copyOf(groups);
+            spares = List.copyOf(spares);
+        }
+
+        /** Returns the donors that the first group waits for. */
+        List<GroupKey> nextDonors() {
+            if (groups.isEmpty()) {
+                return List.of();
+            }
+            List<GroupKey> result = new ArrayList<>();
+            for (DomainState.Group g : state.groups()) {
+                if (donors.contains(g.key())
+                        && g.members().stream().anyMatch(groups.get(0).members()::contains)) {
+                    result.add(g.key());
+                }
+            }
+            return result;
+        }
+    }
+
+    /** Returns the first domain that a group shall be dissolved in. */
+    Optional<DomainPlan> nextConversion() {
+        for (DomainPlan d : domains) {
+            if (!d.nextDonors().isEmpty()) {
+                return Optional.of(d);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the plan of a domain. */
+    Optional<DomainPlan> domain(FabricDomain domain) {
+        for (DomainPlan d : domains) {
+            if (d.state().domain().equals(domain)) {
+                return Optional.of(d);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -3,14 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
@@ -18,12 +16,13 @@
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.GroupMembership;
 import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.id.FabricDomain;
 import org.baobabspindle.core.time.Moment;
 
 /**
  * The keeper's decisions on the groups of its fabric domains: opens groups whose members are all ready, dissolves those
- * that have lost one, and forms new ones from engines that are free.
+ * that have lost one, and forms new ones as the plan for the whole fleet says.
  *
  * <p>An engine is free only once the head of its former group is known to have left it, to be broken or to be gone.
  */
@@ -56,6 +55,7 @@
      * @param demand the demand for each model
      * @param epochs the source of epochs of new groups
      * @param stagedElsewhere the models that hosts stage on orders of other keepers
+     * @param policy what the users weigh against each other
      * @param loadsAllowed how many engines may begin to load weights now
      * @param beforeRequests whether no request has been seen yet; loads are faster then and nothing is urgent
      */
@@ -67,6 +67,7 @@
             ModelDemand demand,
             EpochSource epochs,
             Map<BackendServer.Lifetime, String> stagedElsewhere,
+            PlanPolicy policy,
             int loadsAllowed,
             boolean beforeRequests) {
         /** Tells whether an engine takes work and answers. */
@@ -102,37 +103,58 @@
         arrivals(view, now);
         staging.update(view, now);
         List<FormationAction> actions = new ArrayList<>();
-        Map<String, Integer> groups = new HashMap<>();
-        Map<FabricDomain, List<BackendServer>> free = new TreeMap<>();
         Set<BackendServer> bound = new HashSet<>();
+        DomainStates states = new DomainStates();
         for (GroupView g : GroupView.all(view.engines())) {
-            if (keepGroup(g, view, now, actions)) {
-                g.model().or(() -> plannedModel(g.key())).ifPresent(m -> groups.merge(m, 1, Integer::sum));
-                bound.addAll(g.members().values());
+            Standing standing = standing(g, view, now, actions);
+            if (standing == Standing.RELEASED) {
+                continue;
+            }
+            bound.addAll(g.members().values());
+            if (standing == Standing.ENDING) {
+                g.members().values().stream().filter(view::sound).forEach(states::ending);
+            } else if (!forming.containsKey(g.key())) {
+                EngineModel model = g.model().flatMap(view.profile()::model).orElseThrow();
+                boolean serving = g.head().orElseThrow().group().orElseThrow().state() == MemberState.OPEN;
+                states.group(new DomainState.Group(g.key(), model, g.members().values(), serving));
             }
         }
-        countUnseen(view, now, groups, bound, actions);
+        keepForming(view, now, states, bound, actions);
         for (BackendServer s : view.engines()) {
-            if (view.sound(s) && view.owns(s) && !bound.contains(s)) {
-                free.computeIfAbsent(s.domain().get(), d -> new ArrayList<>()).add(s);
+            if (view.sound(s) && !bound.contains(s)) {
+                states.free(s);
             }
         }
-        convert(view, now, free, groups, actions);
-        int loads = form(view, now, free, groups, actions);
-        if (view.beforeRequests()) {
-            actions.addAll(staging.ofServingHosts(view, bound, loads, now));
-        } else {
-            List<FormationAction> ofFree = staging.ofFreeEngines(view, free.values(), groups, loads, now);
-            actions.addAll(ofFree);
-            actions.addAll(staging.ofServingHosts(view, bound, loads - ofFree.size(), now));
-        }
+        FleetPlan plan = FleetPlanner.plan(
+                states.all(),
+                new DomainOption.Situation(view.profile(), view.policy(), view.beforeRequests(), staging.all(now)),
+                view.demand());
+        convert(plan, view, now, actions);
+        List<FleetPlan.DomainPlan> own = plan.domains().stream()
+                .filter(d -> view.ownDomains().test(d.state().domain()))
+                .toList();
+        int loads = form(own, view, now, actions);
+        List<FormationAction> ofFree =
+                arrivalsAwaited(view, now) ? List.of() : staging.ofFreeEngines(view, own, loads, now);
+        actions.addAll(ofFree);
+        actions.addAll(staging.ofServingHosts(view, bound, loads - ofFree.size(), now));
         return actions;
     }
 
-    /** Returns whether the members of the group stay bound to it; otherwise they are free. */
-    private boolean keepGroup(GroupView g, View view, Moment now, List<FormationAction> actions) {
+    /** How far the engines of a group are bound to it. */
+    private enum Standing {
+        /** It serves or is being formed. */
+        KEPT,
+        /** Its head may still hold work, but it serves no longer. */
+        ENDING,
+        /** Its engines are free. */
+        RELEASED
+    }
+
+    private Standing standing(GroupView g, View view, Moment now, List<FormationAction> actions) {
         if (released.containsKey(g.key())) {
-            return false;
+            conversions.ended(g.key());
+            return Standing.RELEASED;
         }
         boolean own = g.members().values().stream().allMatch(view::owns);
         Optional<EngineModel> model = g.model().or(() -> plannedModel(g.key())).flatMap(view.profile()::model);
@@ -140,18 +162,18 @@
             if (own) {
                 open(g, now, actions);
             }
-            return true;
+            boolean closing = g.head().orElseThrow().group().orElseThrow().state() == MemberState.CLOSING;
+            return closing || conversions.isDonor(g.key()) ? Standing.ENDING : Standing.KEPT;
         }
         if (!own) {
-            return true;
+            return Standing.ENDING;
         }
         Forming f = forming.get(g.key());
         if (f != null && f.stillPossible(g.key(), view, now)) {
-            orderJoins(f.plan(), g.key(), view, now, "the join is not yet reported", actions);
-            return true;
+            return Standing.KEPT;
         }
         forming.remove(g.key());
-        return dissolution.keepsMembers(g, view, now, actions);
+        return dissolution.keepsMembers(g, view, now, actions) ? Standing.ENDING : Standing.RELEASED;
     }
 
     private Optional<String> plannedModel(GroupKey key) {
@@ -172,28 +194,22 @@
         }
     }
 
-    /** Counts groups whose members have not reported anything yet, and keeps their engines from being used elsewhere. */
-    private void countUnseen(
-            View view,
-            Moment now,
-            Map<String, Integer> groups,
-            Set<BackendServer> bound,
-            List<FormationAction> actions) {
-        Set<GroupKey> seen = new HashSet<>();
-        view.engines().forEach(s -> s.group().ifPresent(m -> seen.add(m.key())));
+    /** Keeps the engines of groups that are being formed from being used elsewhere, and orders joins not reported yet. */
+    private void keepForming(
+            View view, Moment now, DomainStates states, Set<BackendServer> bound, List<FormationAction> actions) {
+        Map<BackendServer.Lifetime, BackendServer> listed = new HashMap<>();
+        view.engines().forEach(s -> listed.put(s.lifetime(), s));
         for (Map.Entry<GroupKey, Forming> e : List.copyOf(forming.entrySet())) {
             GroupPlanner.Plan plan = e.getValue().plan();
-            if (!seen.contains(e.getKey())) {
-                if (!e.getValue().stillPossible(e.getKey(), view, now)) {
-                    forming.remove(e.getKey());
-                    continue;
-                }
-                groups.merge(plan.model().name(), 1, Integer::sum);
-                orderJoins(plan, e.getKey(), view, now, "the join is not yet reported", actions);
+            if (!e.getValue().stillPossible(e.getKey(), view, now)) {
+                forming.remove(e.getKey());
+                continue;
             }
-            Set<BackendServer.Lifetime> members = new HashSet<>();
-            plan.members().forEach(m -> members.add(m.lifetime()));
-            view.engines().stream().filter(s -> members.contains(s.lifetime())).forEach(bound::add);
+            orderJoins(plan, e.getKey(), view, now, "the join is not yet reported", actions);
+            List<BackendServer> members =
+                    plan.members().stream().map(m -> listed.get(m.lifetime())).toList();
+            bound.addAll(members);
+            states.group(new DomainState.Group(e.getKey(), plan.model(), members, false));
         }
     }
 
@@ -202,12 +218,7 @@
      * keeper acts, and none while several groups are closing, so that
      * keepers that decide at the same time do not dissolve too many.
      */
-    private void convert(
-            View view,
-            Moment now,
-            Map<FabricDomain, List<BackendServer>> free,
-            Map<String, Integer> groups,
-            List<FormationAction> actions) {
+    private void convert(FleetPlan plan, View view, Moment now, List<FormationAction> actions) {
         long closingNow = view.engines().stream()
                 .flatMap(s -> s.group().stream())
                 .filter(m -> m.state() == MemberState.CLOSING)
@@ -215,85 +226,53 @@
         if (view.beforeRequests() || closingNow >= MOST_CLOSING || conversions.underWay()) {
             return;
         }
-        Optional<Rebalancer.Conversion> chosen =
-                Rebalancer.choose(view.profile(), Rebalancer.DomainView.all(view, free), groups, view.demand());
-        if (chosen.isEmpty() || !view.ownDomains().test(chosen.get().domain())) {
+        Optional<FleetPlan.DomainPlan> chosen = plan.nextConversion();
+        if (chosen.isEmpty() || !view.ownDomains().test(chosen.get().state().domain())) {
             return;
         }
-        conversions.begin(chosen.get(), now);
-        for (GroupKey donor : chosen.get().donors()) {
-            view.engines().stream()
-                    .filter(s -> s.group()
-                            .filter(m -> m.head() && m.key().equals(donor))
-                            .isPresent())
-                    .forEach(s -> orders.add(
-                            new FormationAction.Close(
-                                    s, donor, chosen.get().model().name() + " is short of groups"),
-                            now,
-                            actions));
+        List<GroupKey> donors = chosen.get().nextDonors();
+        conversions.begin(donors, now);
+        String reason = chosen.get().groups().get(0).model().name() + " is short of groups";
+        for (BackendServer s : view.engines()) {
+            if (s.group().filter(m -> m.head() && donors.contains(m.key())).isPresent()) {
+                orders.add(new FormationAction.Close(s, s.group().get().key(), reason), now, actions);
+            }
         }
     }
 
-    /** Forms groups from free engines and returns the loads that may still begin. */
-    private int form(
-            View view,
-            Moment now,
-            Map<FabricDomain, List<BackendServer>> free,
-            Map<String, Integer> groups,
-            List<FormationAction> actions) {
-        if (view.beforeRequests() && now.isBefore(lastArrival.plus(ARRIVAL_PAUSE))) {
+    private boolean arrivalsAwaited(View view, Moment now) {
+        return view.beforeRequests() && now.isBefore(lastArrival.plus(ARRIVAL_PAUSE));
+    }
+
+    /**
+     * Forms the planned groups whose members are all free and returns the loads that may still begin. No engine waits in a
+     * group for another one that loads weights from the weight store, but before the first request: it stages them first.
+     */
+    private int form(List<FleetPlan.DomainPlan> domains, View view, Moment now, List<FormationAction> actions) {
+        if (arrivalsAwaited(view, now)) {
             return 0;
         }
         int loads = view.loadsAllowed();
-        Map<FabricDomain, Rebalancer.DomainView> domains = new HashMap<>();
-        Rebalancer.DomainView.all(view, free).forEach(d -> domains.put(d.domain(), d));
-        Set<GroupKey> present = new HashSet<>();
-        view.engines().forEach(s -> s.group().ifPresent(m -> present.add(m.key())));
-        for (Map.Entry<FabricDomain, List<BackendServer>> e : free.entrySet()) {
-            Optional<EngineModel> promised = conversions.promised(e.getKey());
-            if (conversions.awaitsDonors(e.getKey(), d -> present.contains(d) && !released.containsKey(d), now)) {
-                continue;
-            }
-            if (promised.isEmpty() && keptForAnother(view, domains.get(e.getKey()), groups)) {
-                continue;
-            }
-            List<BackendServer> left = new ArrayList<>(e.getValue());
-            left.sort(Comparator.comparing(BackendServer::id));
-            while (true) {
-                Optional<GroupPlanner.Plan> plan = promised.filter(m -> m.groupSize() <= left.size())
-                        .map(m -> GroupPlanner.plan(m, left))
-                        .or(() ->
-                                GroupPlanner.next(view.profile(), left, groups, view.demand(), view.beforeRequests()));
-                promised = Optional.empty();
-                if (plan.isEmpty()) {
-                    break;
-                }
-                int needed = plan.get().loads();
-                if (needed > loads) {
-                    break;
+        for (FleetPlan.DomainPlan d : domains) {
+            Set<BackendServer> free = new HashSet<>(d.state().free());
+            for (GroupPlanner.Plan plan : d.groups()) {
+                int needed = plan.loads();
+                boolean loadable = needed == 0 || (view.beforeRequests() && needed <= loads);
+                if (!loadable || !free.containsAll(plan.members())) {
+                    continue;
                 }
                 loads -= needed;
-                left.removeAll(plan.get().members());
-                groups.merge(plan.get().model().name(), 1, Integer::sum);
-                long epoch = view.epochs().next();
                 GroupKey key = GroupName.of(
-                        epoch, plan.get().members().get(0), plan.get().model().name());
-                forming.put(key, new Forming(plan.get(), now));
-                orderJoins(plan.get(), key, view, now, "free engines in " + e.getKey(), actions);
+                        view.epochs().next(),
+                        plan.members().get(0),
+                        plan.model().name());
+                forming.put(key, new Forming(plan, now));
+                orderJoins(plan, key, view, now, "planned for " + d.state().domain(), actions);
             }
-            e.setValue(left);
         }
         return loads;
     }
 
-    /** Returns whether the free engines of a domain wait for groups of another model to give theirs. */
-    private static boolean keptForAnother(View view, Rebalancer.DomainView domain, Map<String, Integer> groups) {
-        return !view.beforeRequests()
-                && domain != null
-                && Rebalancer.keptFor(view.profile(), domain, groups, view.demand())
-                        .isPresent();
-    }
-
     /** Orders the joins of the members that do not report the group yet. */
     private void orderJoins(
             GroupPlanner.Plan plan, GroupKey key, View view, Moment now, String reason, List<FormationAction> actions) {
--- a/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -101,38 +100,44 @@
     }
 
     /**
-     * Has free engines stage what their domain lacks for a group; at most as many as loads may begin. Loads beyond those that
-     * the weight store serves at full speed would delay each other, and with them every group.
+     * Has free engines stage what the plan lacks; at most as many as loads may begin. Loads beyond those that the weight store
+     * serves at full speed would delay each other, and with them every group.
      */
     List<FormationAction> ofFreeEngines(
-            Formation.View view,
-            Collection<List<BackendServer>> freeByDomain,
-            Map<String, Integer> groups,
-            int loads,
-            Moment now) {
+            Formation.View view, List<FleetPlan.DomainPlan> domains, int loads, Moment now) {
         List<StagingPlanner.Batch> batches = new ArrayList<>();
-        for (List<BackendServer> free : freeByDomain) {
-            batches.addAll(StagingPlanner.plan(view.profile(), free, groups, view.demand(), id -> stagingNow(id, now)));
-        }
+        domains.forEach(d -> batches.addAll(StagingPlanner.plan(d)));
+        // Members load when they join as long as loads are fast.
+        batches.removeIf(b -> b.forGroup() && view.beforeRequests());
         batches.sort(Comparator.comparing((StagingPlanner.Batch b) -> !b.forGroup())
                 .thenComparing(b -> b.servers().size()));
         List<FormationAction> actions = new ArrayList<>();
         int half = view.profile().loadsAtOnce() / 2;
         for (StagingPlanner.Batch b : batches) {
+            List<BackendServer> idle = new ArrayList<>(b.servers());
+            idle.removeIf(s -> stagingNow(s.lifetime(), now).isPresent());
             // A group begins to load once most of it can; loads for no group leave half of the weight store to others.
-            int leftFree = b.forGroup() ? Math.min(b.servers().size(), half) - 1 : half;
-            for (BackendServer s : b.servers()) {
-                if (actions.size() >= loads || room(view, now) <= leftFree) {
+            int leftFree = b.forGroup() ? Math.min(idle.size(), half) - 1 : half;
+            for (BackendServer s : idle) {
+                if (actions.size() >= loads || (!view.beforeRequests() && room(view, now) <= leftFree)) {
                     break;
                 }
                 leftFree = b.forGroup() ? 0 : half;
                 underWay.put(s.lifetime(), UnderWay.of(b.model(), now));
-                actions.add(new FormationAction.Stage(s, NO_GROUP, b.model().name(), "its domain lacks the model"));
+                String reason = b.forGroup() ? "its domain lacks the model" : "it is a spare";
+                actions.add(new FormationAction.Stage(s, NO_GROUP, b.model().name(), reason));
             }
         }
         return actions;
     }
 
+    /** Returns the models that hosts stage, on orders of any keeper. */
+    Map<BackendServer.Lifetime, String> all(Moment now) {
+        Map<BackendServer.Lifetime, String> result = new HashMap<>(elsewhere);
+        result.putAll(underWay(now));
+        return result;
+    }
+
     /**
      * Has hosts of serving groups stage a model that they do not hold, so that the engines that a lost member leaves behind
      * can join a group of either model within seconds.
--- a/core/src/main/java/org/baobabspindle/core/formation/StagingPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/StagingPlanner.java
@@ -2,123 +2,63 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
-import java.util.function.Predicate;
+import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
-import org.baobabspindle.core.fleet.EngineProfile;
 
 /**
- * Decides which weights the free engines of one domain stage, when what they hold suffices for no group. Answers new engines
- * without weights, and survivors that hold different models.
+ * Decides which weights the free engines of one domain stage, from what the plan makes of them. Answers new engines without
+ * weights, survivors that hold different models, and spares that must replace a lost member within seconds.
  */
 final class StagingPlanner {
-    /** The loads that a group counts with whose members hold its weights or are loading them: it comes first. */
-    private static final double NEXT_TO_NOTHING = 0.01;
-
     private StagingPlanner() {}
 
     /**
      * What free engines of a domain shall stage for one purpose.
      *
      * @param model the model
-     * @param servers the engines, those first that hold nothing
-     * @param forGroup whether they are all that a group of the domain's free engines lacks
+     * @param servers the engines
+     * @param forGroup whether they are all that a group of the plan lacks
      */
     record Batch(EngineModel model, List<BackendServer> servers, boolean forGroup) {}
 
-    private record Option(EngineModel model, double score) {}
-
-    /**
-     * Plans for the engines that are left when no group can be formed from them: what the groups lack that could be formed,
-     * the most wanted one first, and what the engines without weights that remain may stage beyond. Only the first group may
-     * replace weights that an engine holds.
-     */
-    static List<Batch> plan(
-            EngineProfile profile,
-            List<BackendServer> free,
-            Map<String, Integer> groups,
-            ModelDemand demand,
-            Function<BackendServer.Lifetime, Optional<String>> stagingNow) {
+    /** Plans for the engines of a domain that are free now; each group's members first, then the spares. */
+    static List<Batch> plan(FleetPlan.DomainPlan plan) {
         List<Batch> result = new ArrayList<>();
-        List<BackendServer> left = new ArrayList<>(free);
-        Map<String, Integer> planned = new HashMap<>(groups);
-        while (true) {
-            boolean replacing = planned.equals(groups);
-            Predicate<BackendServer> idle = s -> stagingNow.apply(s.lifetime()).isEmpty() && (replacing || empty(s));
-            Optional<EngineModel> best = bestGroup(profile, left, planned, demand, stagingNow, idle);
-            if (best.isEmpty()) {
-                break;
-            }
-            List<BackendServer> lacking = takeGroup(best.get(), left, stagingNow);
-            planned.merge(best.get().name(), 1, Integer::sum);
+        Set<BackendServer> free = new HashSet<>(plan.state().free());
+        for (GroupPlanner.Plan g : plan.groups()) {
+            List<BackendServer> lacking =
+                    g.lacking().stream().filter(free::contains).toList();
             if (!lacking.isEmpty()) {
-                result.add(new Batch(best.get(), lacking, true));
+                result.add(new Batch(g.model(), lacking, true));
             }
         }
-        left.removeIf(s -> !empty(s) || stagingNow.apply(s.lifetime()).isPresent());
-        Optional<EngineModel> wanted = GroupPlanner.worthStaging(profile, planned, demand);
-        if (wanted.isPresent() && !left.isEmpty()) {
-            result.add(new Batch(wanted.get(), left, false));
-        }
-        return result;
-    }
-
-    /** Takes the members of a group out of the engines and returns those of them that must stage its model. */
-    private static List<BackendServer> takeGroup(
-            EngineModel model,
-            List<BackendServer> left,
-            Function<BackendServer.Lifetime, Optional<String>> stagingNow) {
-        left.sort(Comparator.comparing((BackendServer s) -> !holds(s, model, stagingNow))
-                .thenComparing(s -> stagingNow.apply(s.lifetime()).isPresent())
-                .thenComparing(s -> !empty(s))
-                .thenComparing(BackendServer::id));
-        List<BackendServer> members = new ArrayList<>(left.subList(0, model.groupSize()));
-        left.removeAll(members);
-        members.removeIf(s -> holds(s, model, stagingNow));
-        return members;
-    }
-
-    private static Optional<EngineModel> bestGroup(
-            EngineProfile profile,
-            List<BackendServer> free,
-            Map<String, Integer> groups,
-            ModelDemand demand,
-            Function<BackendServer.Lifetime, Optional<String>> stagingNow,
-            Predicate<BackendServer> mayStage) {
-        List<Option> options = new ArrayList<>();
-        for (EngineModel m : profile.models()) {
-            int holding = holding(free, m, stagingNow);
-            int lacking = Math.max(0, m.groupSize() - holding);
-            long able = free.stream()
-                    .filter(s -> mayStage.test(s) && !holds(s, m, stagingNow))
-                    .count();
-            if (m.groupSize() <= free.size() && lacking <= able) {
-                double cost = Math.max(NEXT_TO_NOTHING, lacking) * m.loadTime().toMillis();
-                options.add(new Option(m, GroupPlanner.need(profile, m, groups, demand) / cost));
+        Optional<EngineModel> wanted = forSpares(plan);
+        if (wanted.isPresent()) {
+            List<BackendServer> spares = plan.spares().stream()
+                    .filter(s -> free.contains(s) && !holds(s, wanted.get()))
+                    .toList();
+            if (!spares.isEmpty()) {
+                result.add(new Batch(wanted.get(), spares, false));
             }
         }
-        return options.stream().max(Comparator.comparingDouble(Option::score)).map(Option::model);
-    }
-
-    private static int holding(
-            List<BackendServer> free,
-            EngineModel model,
-            Function<BackendServer.Lifetime, Optional<String>> stagingNow) {
-        return (int) free.stream().filter(s -> holds(s, model, stagingNow)).count();
+        return result;
     }
 
-    private static boolean holds(
-            BackendServer s, EngineModel model, Function<BackendServer.Lifetime, Optional<String>> stagingNow) {
-        return !GroupPlanner.joinTime(model, s).equals(model.loadTime())
-                || stagingNow.apply(s.lifetime()).equals(Optional.of(model.name()));
+    /** Returns the model that spares hold: that of the domain's largest group, which loses a member most often. */
+    private static Optional<EngineModel> forSpares(FleetPlan.DomainPlan plan) {
+        List<EngineModel> models = new ArrayList<>();
+        plan.state().groups().stream()
+                .filter(g -> !plan.donors().contains(g.key()))
+                .forEach(g -> models.add(g.model()));
+        plan.groups().forEach(g -> models.add(g.model()));
+        return models.stream().max(Comparator.comparingInt(EngineModel::groupSize));
     }
 
-    private static boolean empty(BackendServer s) {
-        return s.model().isEmpty() && s.staged().isEmpty();
+    private static boolean holds(BackendServer s, EngineModel model) {
+        return !GroupPlanner.joinTime(model, s).equals(model.loadTime());
     }
 }
--- a/core/src/test/java/org/baobabspindle/core/formation/RebalancerTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/ConversionTests.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 /** A model that is short of groups beside one with room to spare, as after a run of losses. */
-class RebalancerTests extends FormationTestSupport {
+class ConversionTests extends FormationTestSupport {
     private final List<BackendServer> engines = new ArrayList<>();
 
     private void pairs(String domain, int count) {
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/FleetPlannerTests.java
@@ -0,0 +1,252 @@
+package org.baobabspindle.core.formation;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.id.FabricDomain;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The loads of further/plumes-mbour.toml unless said otherwise: 11 engines a domain, groups of 6 and of 3. */
+class FleetPlannerTests {
+    private static final double WANTED_LARGE = 76;
+    private static final double WANTED_SMALL = 39;
+
+    private final Fleets fleets = new Fleets(6, 3);
+
+    private List<DomainState> settled(int count) {
+        List<DomainState> domains = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String name = "d" + i;
+            domains.add(fleets.domain(name, 1, 1, fleets.engines(name, "spare", fleets.large(), 2)));
+        }
+        return domains;
+    }
+
+    private FleetPlan plan(List<DomainState> domains) {
+        return fleets.plan(domains, WANTED_LARGE, WANTED_SMALL);
+    }
+
+    @Test
+    void aFleetThatServesItsDemandIsLeftAsItIs() {
+        for (FleetPlan.DomainPlan d : plan(settled(6)).domains()) {
+            assertThat(d.donors()).isEmpty();
+            assertThat(d.groups()).isEmpty();
+            assertThat(d.spares()).hasSize(2);
+        }
+    }
+
+    @Test
+    void theOrderOfDomainsAndEnginesDoesNotMatter() {
+        List<DomainState> domains = settled(5);
+        List<BackendServer> free = new ArrayList<>(fleets.engines("d9", "s", fleets.small(), 4));
+        free.addAll(Fleets.empty("d9", 7));
+        domains.add(fleets.domain("d9", 0, 0, free));
+        FleetPlan first = plan(domains);
+        Collections.shuffle(domains, new Random(4));
+        assertThat(plan(domains)).isEqualTo(first);
+    }
+
+    @Nested
+    class AfterALoss {
+        @Test
+        void survivorsAndASpareFormTheLargeGroupAgain() {
+            List<DomainState> domains = settled(5);
+            List<BackendServer> free = new ArrayList<>(fleets.engines("d5", "survivor", fleets.large(), 5));
+            free.addAll(fleets.engines("d5", "spare", fleets.large(), 2));
+            domains.add(fleets.domain("d5", 0, 1, free));
+            FleetPlan.DomainPlan d = plan(domains).domain(FabricDomain.of("d5")).orElseThrow();
+            assertThat(d.groups()).hasSize(1);
+            assertThat(d.groups().get(0).model()).isEqualTo(fleets.large());
+            assertThat(d.groups().get(0).loads()).isEqualTo(0);
+        }
+
+        @Test
+        void enginesThatAreFreeNowWaitForSurvivorsThatAreFreeInAMoment() {
+            List<DomainState> domains = settled(5);
+            List<BackendServer> survivors = fleets.engines("d5", "survivor", fleets.large(), 5);
+            List<BackendServer> spares = fleets.engines("d5", "spare", fleets.large(), 3);
+            domains.add(fleets.domain("d5", 0, 1, spares, survivors));
+            FleetPlan.DomainPlan d = plan(domains).domain(FabricDomain.of("d5")).orElseThrow();
+            assertThat(d.groups().stream().map(GroupPlanner.Plan::model).toList())
+                    .containsExactly(fleets.large());
+        }
+
+        /** Each loss turned a large group into small ones: 15 groups of 3 and one of 6 after 33 s. */
+        @Test
+        void lossesEveryFewSecondsDoNotTurnLargeGroupsIntoSmallOnes() {
+            List<DomainState> domains = settled(6);
+            Random random = new Random(20261204);
+            for (int loss = 0; loss < 60; loss++) {
+                int at = random.nextInt(domains.size());
+                domains.set(at, lose(domains.get(at), random, loss));
+                domains = carriedOut(plan(domains));
+                FleetPlan plan = plan(domains);
+                assertWithMessage("large groups after loss %s", loss)
+                        .that(Fleets.groups(plan, fleets.large()))
+                        .isAtLeast(5);
+                assertThat(Fleets.groups(plan, fleets.small())).isAtLeast(3);
+            }
+        }
+
+        /** One member of the domain restarts without weights. */
+        private DomainState lose(DomainState d, Random random, int loss) {
+            int group = random.nextInt(d.groups().size());
+            DomainState.Group hit = d.groups().get(group);
+            List<DomainState.Group> left = new ArrayList<>(d.groups());
+            left.remove(group);
+            List<BackendServer> free = new ArrayList<>(d.free());
+            List<BackendServer> members = new ArrayList<>(hit.members());
+            members.remove(random.nextInt(members.size()));
+            free.addAll(members);
+            free.add(Engines.free(d.domain().value() + "-new" + loss, d.domain().value()));
+            return new DomainState(d.domain(), left, free, List.of());
+        }
+
+        /** Every group that the plan names is formed; spares hold the large model. */
+        private List<DomainState> carriedOut(FleetPlan plan) {
+            List<DomainState> result = new ArrayList<>();
+            for (FleetPlan.DomainPlan d : plan.domains()) {
+                List<BackendServer> spares = d.spares().stream()
+                        .map(s -> Engines.staging(s, fleets.large()))
+                        .toList();
+                DomainState fresh = fleets.domain(
+                        d.state().domain().value(),
+                        Fleets.groups(d, fleets.large()),
+                        Fleets.groups(d, fleets.small()),
+                        spares);
+                result.add(fresh);
+            }
+            return result;
+        }
+
+        @Test
+        void aDomainThatIsLeftWithSmallGroupsIsConvertedBack() {
+            List<DomainState> domains = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                domains.add(fleets.domain("d" + i, i == 0 ? 1 : 0, i == 0 ? 1 : 3, List.of()));
+            }
+            FleetPlan plan = plan(domains);
+            assertThat(Fleets.groups(plan, fleets.large())).isAtLeast(5);
+            assertThat(plan.nextConversion()).isPresent();
+            assertThat(plan.nextConversion().get().nextDonors()).hasSize(2);
+        }
+
+        @Test
+        void aDarkDomainIsMadeUpForByTheOthersOnlyAsFarAsNeeded() {
+            List<DomainState> domains = settled(5);
+            FleetPlan plan = plan(domains);
+            assertThat(Fleets.groups(plan, fleets.large())).isEqualTo(5);
+            assertThat(plan.nextConversion()).isEmpty();
+        }
+    }
+
+    @Nested
+    class Policies {
+        /** The small model is short; a large group could become two small ones. */
+        private FleetPlan planWith(double downtimeWeight) {
+            List<DomainState> domains = settled(6);
+            return FleetPlanner.plan(domains, fleets.situation(downtimeWeight), Fleets.demand(50, 150));
+        }
+
+        @Test
+        void groupsAreKeptWhereDowntimeWeighs() {
+            assertThat(planWith(20).nextConversion()).isEmpty();
+        }
+
+        @Test
+        void groupsAreDissolvedWhereStrandedEnginesWeigh() {
+            assertThat(planWith(0).nextConversion()).isPresent();
+        }
+    }
+
+    @Nested
+    class Shapes {
+        private void checkFrom(int largeSize, int smallSize, int domainSize) {
+            Fleets shape = new Fleets(largeSize, smallSize);
+            Random random = new Random(largeSize * 100L + domainSize);
+            for (int round = 0; round < 20; round++) {
+                int count = 2 + random.nextInt(7);
+                List<DomainState> domains = new ArrayList<>();
+                for (int i = 0; i < count; i++) {
+                    domains.add(shape.domain("d" + i, 0, 0, Fleets.empty("d" + i, domainSize)));
+                }
+                double room = (double) count * domainSize * Fleets.SLOTS * (0.3 + 0.5 * random.nextDouble());
+                double share = 0.2 + 0.6 * random.nextDouble();
+                double wantedLarge = room * share / largeSize;
+                double wantedSmall = room * (1 - share) / smallSize;
+                FleetPlan plan =
+                        FleetPlanner.plan(domains, shape.beforeRequests(), Fleets.demand(wantedLarge, wantedSmall));
+                double large = Fleets.groups(plan, shape.large()) * Fleets.SLOTS / wantedLarge;
+                double small = Fleets.groups(plan, shape.small()) * Fleets.SLOTS / wantedSmall;
+                String what = String.format(
+                        "%d+%d of %d, %d domains, coverage %.2f and %.2f",
+                        largeSize, smallSize, domainSize, count, large, small);
+                boolean spareSmall =
+                        Fleets.groups(plan, shape.small()) > count * ((domainSize % largeSize) / smallSize);
+                assertWithMessage(what)
+                        .that(large < 1 && small >= 2 && spareSmall)
+                        .isFalse();
+                assertWithMessage(what).that(small < 1 && large >= 2).isFalse();
+            }
+        }
+
+        @Test
+        void fourAndTwoOfTen() {
+            checkFrom(4, 2, 10);
+        }
+
+        @Test
+        void sixAndThreeOfEleven() {
+            checkFrom(6, 3, 11);
+        }
+
+        @Test
+        void twelveAndSixOfTwentySeven() {
+            checkFrom(12, 6, 27);
+        }
+
+        @Test
+        void eightAndFourOfNineteen() {
+            checkFrom(8, 4, 19);
+        }
+
+        @Test
+        void eightAndTwoOfEighteen() {
+            checkFrom(8, 2, 18);
+        }
+
+        @Test
+        void modelsThatFitNoDomainAreLeftOutAndTheOthersServed() {
+            Fleets shape = new Fleets(30, 3);
+            List<DomainState> domains = List.of(shape.domain("d0", 0, 0, Fleets.empty("d0", 11)));
+            FleetPlan plan = FleetPlanner.plan(domains, shape.beforeRequests(), Fleets.demand(50, 50));
+            assertThat(Fleets.groups(plan, shape.large())).isEqualTo(0);
+            assertThat(Fleets.groups(plan, shape.small())).isEqualTo(3);
+        }
+    }
+
+    @Test
+    void anEngineThatIsStagingIsTakenBeforeOneThatHoldsNothing() {
+        List<BackendServer> free = new ArrayList<>(fleets.engines("d0", "survivor", fleets.large(), 5));
+        free.addAll(Fleets.empty("d0", 2));
+        BackendServer staging = free.get(6);
+        DomainOption.Situation s = new DomainOption.Situation(
+                fleets.situation(1).profile(),
+                fleets.situation(1).policy(),
+                false,
+                Map.of(staging.lifetime(), "large"));
+        FleetPlan plan = FleetPlanner.plan(
+                List.of(fleets.domain("d0", 0, 1, free)), s, Fleets.demand(WANTED_LARGE, WANTED_SMALL));
+        Optional<GroupPlanner.Plan> large =
+                plan.domains().get(0).groups().stream().findFirst();
+        assertThat(large.orElseThrow().members()).contains(staging);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/Fleets.java
@@ -0,0 +1,105 @@
+package org.baobabspindle.core.formation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
+import org.baobabspindle.core.fleet.GroupKey;
+import org.baobabspindle.core.fleet.PlanPolicy;
+import org.baobabspindle.core.id.FabricDomain;
+
+/** Fleets of two models, for tests of plans. */
+final class Fleets {
+    static final int SLOTS = 18;
+
+    private final EngineModel large;
+    private final EngineModel small;
+    private final EngineProfile profile;
+    private long epoch;
+
+    Fleets(int largeSize, int smallSize) {
+        large = new EngineModel("large", largeSize, 1.0, 0.5, Duration.ofSeconds(16), Duration.ofMillis(1_600));
+        small = new EngineModel("small", smallSize, 0.6, 0.5, Duration.ofSeconds(12), Duration.ofMillis(1_100));
+        profile = new EngineProfile(SLOTS, 6.45, 0.1, 56_100, 6, 5, 8, Duration.ofMillis(300), List.of(large, small));
+    }
+
+    EngineModel large() {
+        return large;
+    }
+
+    EngineModel small() {
+        return small;
+    }
+
+    DomainOption.Situation situation(double downtimeWeight) {
+        return new DomainOption.Situation(profile, new PlanPolicy(downtimeWeight), false, Map.of());
+    }
+
+    DomainOption.Situation beforeRequests() {
+        return new DomainOption.Situation(profile, PlanPolicy.EVEN, true, Map.of());
+    }
+
+    FleetPlan plan(List<DomainState> domains, double wantedLarge, double wantedSmall) {
+        return FleetPlanner.plan(domains, situation(1), demand(wantedLarge, wantedSmall));
+    }
+
+    static ModelDemand demand(double large, double small) {
+        return ModelDemand.of(Map.of("large", large, "small", small));
+    }
+
+    /** Returns a domain with groups and free engines. */
+    DomainState domain(String name, int largeGroups, int smallGroups, List<BackendServer> free) {
+        return domain(name, largeGroups, smallGroups, free, List.of());
+    }
+
+    DomainState domain(
+            String name, int largeGroups, int smallGroups, List<BackendServer> free, List<BackendServer> ending) {
+        List<DomainState.Group> groups = new ArrayList<>();
+        for (int i = 0; i < largeGroups + smallGroups; i++) {
+            EngineModel model = i < largeGroups ? large : small;
+            groups.add(new DomainState.Group(
+                    new GroupKey("g" + ++epoch, epoch), model, engines(name, "m" + i, model, model.groupSize()), true));
+        }
+        return new DomainState(FabricDomain.of(name), groups, free, ending);
+    }
+
+    /** Returns engines whose last group had a model, while their hosts hold the other one. */
+    List<BackendServer> engines(String domain, String prefix, EngineModel model, int count) {
+        EngineModel other = model.equals(large) ? small : large;
+        List<BackendServer> result = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            BackendServer s = Engines.free(domain + "-" + prefix + "-" + i, domain);
+            result.add(Engines.staging(s.withModel(Optional.of(model.name())), other));
+        }
+        return result;
+    }
+
+    static List<BackendServer> empty(String domain, int count) {
+        List<BackendServer> result = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            result.add(Engines.free(domain + "-e-" + i, domain));
+        }
+        return result;
+    }
+
+    /** Counts the groups of a model that a plan comes to. */
+    static int groups(FleetPlan plan, EngineModel model) {
+        int result = 0;
+        for (FleetPlan.DomainPlan d : plan.domains()) {
+            result += groups(d, model);
+        }
+        return result;
+    }
+
+    static int groups(FleetPlan.DomainPlan d, EngineModel model) {
+        long kept = d.state().groups().stream()
+                .filter(g -> g.model().equals(model) && !d.donors().contains(g.key()))
+                .count();
+        long formed = d.groups().stream().filter(g -> g.model().equals(model)).count();
+        return (int) (kept + formed);
+    }
+}
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTestSupport.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTestSupport.java
@@ -12,6 +12,7 @@
 import org.baobabspindle.core.fleet.EngineModel;
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.time.Moment;
 
 /** Decisions over engines and groups that tests make up. */
@@ -40,6 +41,7 @@
                         wanted,
                         () -> ++epochs,
                         Map.copyOf(stagedElsewhere),
+                        PlanPolicy.EVEN,
                         100,
                         beforeRequests),
                 now);
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -158,6 +158,7 @@
                 EngineModel model = i == 0 ? Engines.SMALL : Engines.LARGE;
                 engines.add(Engines.holding(Engines.free("e" + i, "d1"), model));
             }
+            demand = Map.of("large", 12.0, "small", 4.0);
             List<FormationAction> actions = decide(engines, START);
             assertThat(kinds(actions)).containsExactly(FormationAction.Stage.class);
         }
--- a/core/src/test/java/org/baobabspindle/core/formation/HostStagingTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/HostStagingTests.java
@@ -66,6 +66,7 @@
         List<BackendServer> engines = new ArrayList<>(empty("d1", 1));
         engines.addAll(holdingLarge("d1", 3));
         stagedElsewhere.put(engines.get(0).lifetime(), "large");
+        demand = Map.of("large", 12.0, "small", 4.0);
         assertThat(decide(engines, START)).isEmpty();
         stagedElsewhere.clear();
         assertThat(decide(engines, at(1_000))).isEmpty();
@@ -89,6 +90,7 @@
     void anOrderToStageThatTheEngineDidNotGetIsDecidedAgain() {
         List<BackendServer> engines = new ArrayList<>(empty("d1", 1));
         engines.addAll(holdingLarge("d1", 3));
+        demand = Map.of("large", 12.0, "small", 4.0);
         FormationAction stage = decide(engines, START).get(0);
         assertThat(decide(engines, at(100))).isEmpty();
         formation.notSent(stage);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -11,9 +11,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.formation.FleetCensus;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
@@ -45,6 +47,9 @@
     /** How often the keeper decides when nothing has changed. */
     private static final Duration KEEPER_TICK = Duration.ofMillis(100);
 
+    /** How long the keeper waits for further changes before it decides; lists change many times a second in a large fleet. */
+    private static final Duration KEEPER_GAP = Duration.ofMillis(15);
+
     /** How often the lease is renewed; three calls fit into the shortest lease. */
     private static final Duration LEASE_RENEWAL = Duration.ofMillis(350);
 
@@ -81,9 +86,10 @@
     private final GatewayGossip gossip;
     private final GatewayServer server;
     private PeerServer peerServer;
+    private final AtomicBoolean keepSoon = new AtomicBoolean();
     private volatile boolean announced;
 
-    private GatewayNode(Platform platform) throws Exception {
+    private GatewayNode(Platform platform, PlanPolicy policy) throws Exception {
         settings = platform.settings();
         threads = new QueuedThreadPool(MAX_THREADS, 4);
         threads.setName("gateway");
@@ -112,7 +118,7 @@
                 settings.bounds());
         Duration timeToLive = Duration.ofMillis(Math.max(settings.leastLease().toMillis(), 1_300));
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        keeper = new GroupKeeper(platform.engines(client), settings, lease, clock, log, metrics);
+        keeper = new GroupKeeper(platform.engines(client), settings, policy, lease, clock, log, metrics);
         gossip = new GatewayGossip(self, context, mesh, keeper, this::ready, this::changed);
         silence = new SilenceGuard(context, platform.engines(client), gossip::tellSuspects, log);
         gossip.hearers(silence::toldOf);
@@ -143,10 +149,11 @@
      * Runs an entry until the process is told to stop.
      *
      * @param platform the platform to run on
+     * @param policy what the users weigh against each other when groups are formed
      * @throws Exception if the entry cannot start
      */
-    public static void run(Platform platform) throws Exception {
-        GatewayNode node = new GatewayNode(platform);
+    public static void run(Platform platform, PlanPolicy policy) throws Exception {
+        GatewayNode node = new GatewayNode(platform, policy);
         Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
         HangupSignal.handle(() -> node.reload(platform));
         node.start();
@@ -155,7 +162,7 @@
 
     /** Starts an entry that ends with {@link #shutDown()}. */
     static GatewayNode open(Platform platform) throws Exception {
-        GatewayNode node = new GatewayNode(platform);
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
         node.start();
         return node;
     }
@@ -178,7 +185,7 @@
      * @throws Exception if the entry cannot start or answers nothing at all
      */
     public static void rehearse(Platform platform, List<String> questions) throws Exception {
-        GatewayNode node = new GatewayNode(platform);
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
         node.start();
         for (String url : questions) {
             int status = node.client.GET(url).getStatus();
@@ -249,14 +256,15 @@
     }
 
     private void every(Duration pause, Runnable step) {
-        Runnable safe = () -> {
-            try {
-                step.run();
-            } catch (RuntimeException e) {
-                System.getLogger(GatewayNode.class.getName()).log(System.Logger.Level.ERROR, "a step failed", e);
-            }
-        };
-        timer.scheduleWithFixedDelay(safe, pause.toMillis(), pause.toMillis(), TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(() -> safely(step), pause.toMillis(), pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static void safely(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            System.getLogger(GatewayNode.class.getName()).log(System.Logger.Level.ERROR, "a step failed", e);
+        }
     }
 
     private void announce() {
@@ -272,7 +280,15 @@
 
     private void changed() {
         context.dispatcher().drain(clock.now());
-        keep();
+        if (keepSoon.compareAndSet(false, true)) {
+            timer.schedule(
+                    () -> {
+                        keepSoon.set(false);
+                        safely(this::keep);
+                    },
+                    KEEPER_GAP.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     private void keep() {
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -14,6 +14,7 @@
 import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.FleetService;
+import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.formation.Formation;
 import org.baobabspindle.core.formation.FormationAction;
 import org.baobabspindle.core.formation.GroupPlanner;
@@ -42,6 +43,7 @@
 
     private final EnginePort engines;
     private final GatewaySettings settings;
+    private final PlanPolicy policy;
     private final KeeperLease lease;
     private final GatewayClock clock;
     private final EventLog log;
@@ -58,12 +60,14 @@
     GroupKeeper(
             EnginePort engines,
             GatewaySettings settings,
+            PlanPolicy policy,
             KeeperLease lease,
             GatewayClock clock,
             EventLog log,
             GatewayMetrics metrics) {
         this.engines = engines;
         this.settings = settings;
+        this.policy = policy;
         this.lease = lease;
         this.clock = clock;
         this.log = log;
@@ -136,6 +140,7 @@
                 demand,
                 () -> term * EPOCHS_PER_TERM + ++epochsDrawn,
                 stagedElsewhere(own, in.stagedElsewhere()),
+                policy,
                 allowed,
                 calm);
         List<FormationAction> actions = formation.decide(view, now);
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -18,6 +18,7 @@
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.GroupMembership;
 import org.baobabspindle.core.fleet.MemberState;
+import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
@@ -72,7 +73,8 @@
     }
 
     private GroupKeeper newKeeper() {
-        return new GroupKeeper(platform, platform.settings(), lease, clock, new EventLog(), new GatewayMetrics());
+        return new GroupKeeper(
+                platform, platform.settings(), PlanPolicy.EVEN, lease, clock, new EventLog(), new GatewayMetrics());
     }
 
     private static BackendServer member(String id, int rank, MemberState state) {
