Leaving servers, pauses that servers ask for, and bytes without end

Bodies, events and heads without end: bounded (4 MiB, 256 KiB, 32 KiB; all bodies together 32 MiB), the connection is closed, the caller gets 502, a line is logged.

--- a/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
@@ -61,6 +61,16 @@
         return new BackendServer(id, service, host, port, zone, state, slots, bornMillis, domain, other, staged, group);
     }
 
+    /**
+     * Returns this backend server as one that takes no new work.
+     *
+     * @return the backend server
+     */
+    public BackendServer draining() {
+        return new BackendServer(
+                id, service, host, port, zone, ServerState.DRAINING, slots, bornMillis, domain, model, staged, group);
+    }
+
     /**
      * Returns the lifetime, which ends with a restart also where the id stays.
      *
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/ServerPausesTests.java
@@ -0,0 +1,49 @@
+package org.baobabspindle.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.junit.jupiter.api.Test;
+
+/** A server that turns requests away while others have room. */
+class ServerPausesTests {
+    private static final Moment START = new Moment(0, 0);
+    private static final BackendServer.Lifetime SERVER = new BackendServer.Lifetime(InstanceId.of("b1"), 1);
+
+    private final ServerPauses pauses = new ServerPauses();
+
+    private static Moment at(long millis) {
+        return START.plus(Duration.ofMillis(millis));
+    }
+
+    @Test
+    void aServerIsUsedAgainOnceItsPauseIsOver() {
+        assertThat(pauses.usable(SERVER, START)).isTrue();
+        pauses.pause(SERVER, Duration.ofSeconds(2), START);
+        assertThat(pauses.usable(SERVER, at(1_999))).isFalse();
+        assertThat(pauses.usable(SERVER, at(2_000))).isTrue();
+    }
+
+    @Test
+    void aPauseThatIsUnderWayIsNotShortened() {
+        pauses.pause(SERVER, Duration.ofSeconds(5), START);
+        pauses.pause(SERVER, Duration.ofSeconds(1), at(1_000));
+        assertThat(pauses.usable(SERVER, at(4_000))).isFalse();
+    }
+
+    @Test
+    void aServerThatHasStartedAnewHasAskedForNoPause() {
+        pauses.pause(SERVER, Duration.ofSeconds(5), START);
+        assertThat(pauses.usable(new BackendServer.Lifetime(SERVER.id(), 2), at(100)))
+                .isTrue();
+    }
+
+    @Test
+    void aPauseOfHoursIsNotBelieved() {
+        pauses.pause(SERVER, Duration.ofHours(5), START);
+        assertThat(pauses.usable(SERVER, at(60_000))).isTrue();
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Set;
 import org.baobabspindle.core.dispatch.Target;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.port.ForwardingHeaders;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -28,6 +29,8 @@
             "expect",
             "accept-encoding");
 
+    private final BackendServer server;
+    private final ServerNotices notices;
     private final Listener listener;
     private final ForwardingHeaders names;
     private final String requestId;
@@ -94,7 +97,10 @@
             Message message,
             Stamped stamped,
             ForwardingHeaders names,
+            ServerNotices notices,
             Listener listener) {
+        this.server = target.server();
+        this.notices = notices;
         this.listener = listener;
         this.names = names;
         this.requestId = message.headers().get(names.requestId());
@@ -149,6 +155,8 @@
 
     @Override
     public void onHeaders(Response response) {
+        HttpFields headers = response.getHeaders();
+        notices.answered(server, response.getStatus(), headers.contains(names.leaving()), headers.get("Retry-After"));
         String echoed = response.getHeaders().get(names.requestId());
         boolean refusal = response.getHeaders().contains(names.notRun()) || response.getStatus() == 421;
         if (requestId != null && !requestId.equals(echoed) && !(echoed == null && refusal)) {
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -1,6 +1,5 @@
 package org.baobabspindle.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
@@ -29,7 +28,7 @@
     private final CallerAdmission admission;
     private final CallerAnswer answer;
     private final Set<String> tried = new HashSet<>();
-    private final ByteArrayOutputStream wholeBody = new ByteArrayOutputStream();
+    private final AnswerBuffer wholeBody;
 
     private byte[] body = new byte[0];
     private Optional<Dispatcher.Ticket> ticket = Optional.empty();
@@ -54,6 +53,7 @@
         this.context = context;
         this.request = request;
         this.receivedAt = now;
+        this.wholeBody = new AnswerBuffer(context.answerRoom());
         this.waitingSince = now;
         this.admission = new CallerAdmission(context, request, now);
         this.answer = new CallerAnswer(context, response, new CallerStream(response, callback, this::callerGone));
@@ -115,7 +115,13 @@
             callHeaders = HttpFields.EMPTY;
             splitter = new EventSplitter();
             next = new BackendCall(
-                    context.client(), t, BackendCall.Message.of(request, body), stamped(now), context.names(), this);
+                    context.client(),
+                    t,
+                    BackendCall.Message.of(request, body),
+                    stamped(now),
+                    context.names(),
+                    context.notices(),
+                    this);
             call = Optional.of(next);
         }
         context.dispatcher().sent(t, admission.streaming(), now);
@@ -149,10 +155,22 @@
             callStatus = newStatus;
             callHeaders = headers;
             answer.head(newStatus, headers);
-            wholeBody.reset();
+            wholeBody.clear();
         }
     }
 
+    private void tooLong(BackendCall from, String why) {
+        context.log()
+                .write(
+                        "broken",
+                        why,
+                        "request",
+                        id(),
+                        "server",
+                        target.orElseThrow().server().id());
+        from.cancel(why);
+    }
+
     private boolean stale(BackendCall from) {
         return over || !call.equals(Optional.of(from));
     }
@@ -165,9 +183,9 @@
                 return;
             }
             if (!admission.streaming() || callStatus != 200) {
-                byte[] piece = new byte[bytes.remaining()];
-                bytes.get(piece);
-                wholeBody.writeBytes(piece);
+                if (!wholeBody.add(bytes)) {
+                    tooLong(from, "the body is too long");
+                }
                 return;
             }
             for (EventSplitter.Event e : splitter.split(bytes)) {
@@ -178,6 +196,9 @@
                     return;
                 }
             }
+            if (splitter.tooLong()) {
+                tooLong(from, "an event is too long");
+            }
         }
     }
 
@@ -221,6 +242,9 @@
         if (over) {
             return Dispatcher.Verdict.NEUTRAL;
         }
+        if (end == BackendCall.End.COMPLETE && callStatus == 503 && callHeaders.contains("Retry-After")) {
+            return Dispatcher.Verdict.NEUTRAL;
+        }
         boolean sound = end == BackendCall.End.COMPLETE && callStatus < 500;
         return sound ? Dispatcher.Verdict.SOUND : Dispatcher.Verdict.FAILED;
     }
@@ -292,7 +316,7 @@
         }
         over = true;
         boolean streamed = admission.streaming() && answer.status() == 200;
-        answer.finish(streamed ? Optional.empty() : Optional.of(wholeBody.toByteArray()));
+        answer.finish(streamed ? Optional.empty() : Optional.of(wholeBody.bytes()));
         finished("answered", "", answer.status(), now);
         return Next.NOTHING;
     }
@@ -378,6 +402,7 @@
     }
 
     private void finished(String outcome, String why, int sentStatus, Moment now) {
+        wholeBody.clear();
         context.finished(this, outcome);
         Optional<TargetPool> pool = admission.pool();
         Object[] inputs = {
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.baobabspindle.core.dispatch.LoadBoard;
 import org.baobabspindle.core.dispatch.OfferedLoad;
 import org.baobabspindle.core.dispatch.RetryWindow;
+import org.baobabspindle.core.dispatch.ServerPauses;
 import org.baobabspindle.core.dispatch.SilenceWatch;
 import org.baobabspindle.core.dispatch.Target;
 import org.baobabspindle.core.dispatch.TargetChooser;
@@ -19,6 +20,7 @@
 import org.baobabspindle.core.dispatch.TargetPool;
 import org.baobabspindle.core.dispatch.WaitingLine;
 import org.baobabspindle.core.dispatch.WaitingPolicy;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.port.GatewaySettings;
@@ -30,6 +32,7 @@
     private final GatewaySettings.Bounds bounds;
     private final LoadBoard loads = new LoadBoard();
     private final TargetHealth health = new TargetHealth();
+    private final ServerPauses pauses = new ServerPauses();
     private final SilenceWatch silence = new SilenceWatch();
     private final Map<TargetPool, WaitingLine<Ticket>> lines = new HashMap<>();
     private final Map<String, RetryWindow> retries = new HashMap<>();
@@ -119,8 +122,12 @@
 
     private boolean assign(Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
         List<Target> targets = fleet.catalog().targets(t.pool());
-        Optional<Target> target =
-                chooser.choose(targets, totals, x -> !t.avoid().contains(x.key()) && health.usable(x.key(), now));
+        Optional<Target> target = chooser.choose(
+                targets,
+                totals,
+                x -> !t.avoid().contains(x.key())
+                        && health.usable(x.key(), now)
+                        && pauses.usable(x.server().lifetime(), now));
         if (target.isEmpty()) {
             return false;
         }
@@ -175,6 +182,11 @@
         drain(now);
     }
 
+    /** Sends a server nothing for a time, as it asks. */
+    synchronized void pause(BackendServer.Lifetime server, Duration time, Moment now) {
+        pauses.pause(server, time, now);
+    }
+
     synchronized void leaveOut(String target, Moment until) {
         health.leaveOut(target, until);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/EventSplitter.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EventSplitter.java
@@ -9,6 +9,9 @@
 
 /** Splits an event stream into whole events. Bytes of an event that has not ended stay behind. */
 final class EventSplitter {
+    /** The longest event, in bytes; events of all routes are far shorter, and bytes without end hold none. */
+    static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final String ID_FIELD = "id:";
 
     private final ByteArrayOutputStream open = new ByteArrayOutputStream();
@@ -27,6 +30,9 @@
         List<Event> events = new ArrayList<>();
         while (bytes.hasRemaining()) {
             byte b = bytes.get();
+            if (tooLong()) {
+                continue;
+            }
             open.write(b);
             if (b == '\r') {
                 continue;
@@ -44,6 +50,11 @@
         return events;
     }
 
+    /** Returns whether the open event is longer than any may be. */
+    boolean tooLong() {
+        return open.size() > MAX_EVENT_BYTES;
+    }
+
     /** Returns whether an event has begun and not ended. */
     boolean withinEvent() {
         return open.size() > 0;
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -27,6 +27,7 @@
     private String configurationKey = "";
     private Optional<Moment> provenAt = Optional.empty();
     private TargetCatalog catalog = TargetCatalog.empty();
+    private Set<BackendServer.Lifetime> leaving = Set.of();
     private boolean serversRead;
 
     FleetTable(FleetDecoder decoder, EventLog log) {
@@ -132,7 +133,7 @@
     }
 
     private void derive() {
-        configuration.ifPresent(c -> catalog = TargetCatalog.of(c, servers.all()));
+        configuration.ifPresent(c -> catalog = TargetCatalog.of(c, servers()));
     }
 
     synchronized Optional<FleetConfiguration> configuration() {
@@ -161,8 +162,19 @@
         return catalog;
     }
 
+    /** Takes over which servers say that they leave, whatever the list says of them. */
+    synchronized void leaving(Set<BackendServer.Lifetime> all) {
+        leaving = Set.copyOf(all);
+        derive();
+    }
+
     synchronized Collection<BackendServer> servers() {
-        return servers.all();
+        if (leaving.isEmpty()) {
+            return servers.all();
+        }
+        return servers.all().stream()
+                .map(s -> leaving.contains(s.lifetime()) ? s.draining() : s)
+                .toList();
     }
 
     /** Returns whether both feeds have been read. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -20,6 +20,9 @@
      */
     static final Duration DENIAL_AGE = Duration.ofMillis(2_600);
 
+    /** The bodies that wait to be passed on whole, over all requests; a tenth of the smallest instance's memory. */
+    private static final long ANSWER_BYTES = 32L * 1024 * 1024;
+
     /** Taken off the time that a removed key may be used, for the way to the backend server and clocks that drift. */
     private static final Duration KEY_MARGIN = Duration.ofMillis(500);
 
@@ -34,6 +37,8 @@
     private final RandomGenerator random;
     private final IntSupplier entries;
     private final Duration keyLifetime;
+    private final ServerNotices notices;
+    private final AnswerBuffer.Room answerRoom = new AnswerBuffer.Room(ANSWER_BYTES);
     private final Set<CallerExchange> active = ConcurrentHashMap.newKeySet();
 
     GatewayContext(
@@ -41,6 +46,7 @@
             FleetTable fleet,
             Dispatcher dispatcher,
             HttpClient client,
+            ServerNotices notices,
             ForwardingHeaders names,
             Stopping stopping,
             EventLog log,
@@ -52,6 +58,7 @@
         this.fleet = fleet;
         this.dispatcher = dispatcher;
         this.client = client;
+        this.notices = notices;
         this.names = names;
         this.stopping = stopping;
         this.log = log;
@@ -77,6 +84,14 @@
         return client;
     }
 
+    ServerNotices notices() {
+        return notices;
+    }
+
+    AnswerBuffer.Room answerRoom() {
+        return answerRoom;
+    }
+
     ForwardingHeaders names() {
         return names;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -18,6 +18,7 @@
     private final GroupKeeper keeper;
     private final BooleanSupplier ready;
     private final Runnable changed;
+    private final ServerNotices notices;
     private volatile Hearer hearer = (silent, now) -> {};
 
     /** Hears which engines do not answer another entry. */
@@ -31,7 +32,9 @@
             PeerMesh mesh,
             GroupKeeper keeper,
             BooleanSupplier ready,
-            Runnable changed) {
+            Runnable changed,
+            ServerNotices notices) {
+        this.notices = notices;
         this.self = self;
         this.context = context;
         this.mesh = mesh;
@@ -52,7 +55,8 @@
                 context.fleet().configurationAge(now).map(Duration::toMillis).orElse(-1L),
                 context.dispatcher().ownCounts(),
                 context.dispatcher().demand(now),
-                keeper.staging(now));
+                keeper.staging(now),
+                notices.recent(now));
     }
 
     /** Exchanges the state of this entry for that of every other one. */
@@ -60,6 +64,7 @@
         mesh.pulse(ownPulse(), context.clock(), (from, pulse, askedAt, now) -> {
             context.dispatcher().peerCounts(from.entry().instance(), pulse.loads(), now);
             learnConfiguration(from, pulse, askedAt);
+            notices.told(pulse.leaving());
         });
     }
 
@@ -80,6 +85,7 @@
     PeerMessage answer(PeerMessage ask) {
         if (ask instanceof PeerMessage.PulseAsk p) {
             mesh.asked(p.from(), p.pulse());
+            notices.told(p.pulse().leaving());
             Moment now = context.clock().now();
             context.dispatcher().peerCounts(p.from().instance(), p.pulse().loads(), now);
             return new PeerMessage.PulseAnswer(ownPulse());
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -6,6 +6,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.baobabspindle.core.dispatch.TargetChooser;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.formation.FleetCensus;
@@ -24,6 +26,7 @@
 import org.baobabspindle.peer.PeerSecret;
 import org.baobabspindle.peer.PeerServer;
 import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.EnginePort;
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.GatewaySettings;
@@ -104,11 +107,13 @@
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
         Dispatcher dispatcher =
                 new Dispatcher(fleet, new TargetChooser(settings.zone(), random.split()), settings.bounds(), threads);
+        ServerNotices notices = new ServerNotices(clock, log, noticesTo(dispatcher));
         context = new GatewayContext(
                 clock,
                 fleet,
                 dispatcher,
                 client,
+                notices,
                 platform.headers(),
                 stopping,
                 log,
@@ -118,15 +123,31 @@
                 settings.bounds());
         Duration timeToLive = Duration.ofMillis(Math.max(settings.leastLease().toMillis(), 1_300));
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        keeper = new GroupKeeper(platform.engines(client), settings, policy, lease, clock, log, metrics);
-        gossip = new GatewayGossip(self, context, mesh, keeper, this::ready, this::changed);
-        silence = new SilenceGuard(context, platform.engines(client), gossip::tellSuspects, log);
+        EnginePort engines = platform.engines(client, notices::answered);
+        keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
+        gossip = new GatewayGossip(self, context, mesh, keeper, this::ready, this::changed, notices);
+        silence = new SilenceGuard(context, engines, gossip::tellSuspects, log);
         gossip.hearers(silence::toldOf);
         server = new GatewayServer(settings, threads);
         server.start(new GatewayHandler(
                 context, settings.listeners(), platform.directory(), this::addresses, this::ready, metrics));
     }
 
+    private ServerNotices.Sink noticesTo(Dispatcher dispatcher) {
+        return new ServerNotices.Sink() {
+            @Override
+            public void leaves(Set<BackendServer.Lifetime> all) {
+                fleet.leaving(all);
+                changed();
+            }
+
+            @Override
+            public void pauses(BackendServer.Lifetime server, Duration time, Moment now) {
+                dispatcher.pause(server, time, now);
+            }
+        };
+    }
+
     private static Thread daemon(Runnable r, String name) {
         Thread t = new Thread(r, name);
         t.setDaemon(true);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -35,6 +35,9 @@
     /** Connections to one backend server; more than its slots, since a cancelled call takes a moment to close. */
     private static final int MAX_CONNECTIONS = 64;
 
+    /** The longest head of an answer, in bytes; a head without end is ended there. */
+    static final int MAX_HEAD_BYTES = 32 * 1024;
+
     private final Server server;
 
     GatewayServer(GatewaySettings settings, QueuedThreadPool threads) {
@@ -89,6 +92,7 @@
         client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
         client.setIdleTimeout(CLIENT_IDLE_TIMEOUT.toMillis());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+        client.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setDefaultRequestContentType(null);
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -149,6 +149,7 @@
      * @param loads its outstanding requests by target
      * @param demand the slots that its requests would fill, by model
      * @param staging the models that engines stage on its orders, by engine and start as {@code id/millis}
+     * @param leaving the backend servers that it has seen leave, as {@code id/millis}
      */
     record Pulse(
             boolean ready,
@@ -156,12 +157,14 @@
             long versionAgeMillis,
             Map<String, Integer> loads,
             Map<String, Double> demand,
-            Map<String, String> staging) {
+            Map<String, String> staging,
+            List<String> leaving) {
         /** Copies the counts. */
         public Pulse {
             loads = loads == null ? Map.of() : Map.copyOf(loads);
             demand = demand == null ? Map.of() : Map.copyOf(demand);
             staging = staging == null ? Map.of() : Map.copyOf(staging);
+            leaving = leaving == null ? List.of() : List.copyOf(leaving);
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/port/ForwardingHeaders.java
+++ b/entry/src/main/java/org/baobabspindle/port/ForwardingHeaders.java
@@ -13,6 +13,7 @@
  * @param account the client account, set for backend servers
  * @param expectInstance the only instance that may run the request
  * @param notRun set by a backend server that did not run the request
+ * @param leaving set by a backend server that takes no new work and is about to end
  * @param stamp the signature of a backend server on its answer
  * @param model the model of a generation
  * @param tokenCount the tokens of the prompt and the most tokens of the answer, with a comma between
@@ -27,6 +28,7 @@
         String account,
         String expectInstance,
         String notRun,
+        String leaving,
         String stamp,
         String model,
         String tokenCount,
--- a/entry/src/main/java/org/baobabspindle/port/Platform.java
+++ b/entry/src/main/java/org/baobabspindle/port/Platform.java
@@ -32,9 +32,10 @@
      * Returns the way to order engines.
      *
      * @param client a started client
+     * @param heads hears the head of each answer of an engine
      * @return the port
      */
-    EnginePort engines(HttpClient client);
+    EnginePort engines(HttpClient client, AnswerHeads heads);
 
     /**
      * Returns the reader of the platform's records.
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -22,6 +22,7 @@
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.id.Region;
+import org.baobabspindle.port.AnswerHeads;
 import org.baobabspindle.port.DirectoryFormat;
 import org.baobabspindle.port.EngineOrder;
 import org.baobabspindle.port.EnginePort;
@@ -48,6 +49,7 @@
             "Account",
             "Expect",
             "Not-Run",
+            "Leaving",
             "Stamp",
             "Model",
             "Tokens",
@@ -170,7 +172,7 @@
     }
 
     @Override
-    public EnginePort engines(HttpClient client) {
+    public EnginePort engines(HttpClient client, AnswerHeads heads) {
         return this;
     }
 
