Spares for each kind of group, hosts that together hold what their domain needs, donors that serve while hosts load

(2) A dark domain came back with 5 hosts of the large model and 6 of the small: no large group for 16 s. Ruled out: too few loads allowed (they were not asked for), late leases (1.8 s). Now: spares divided among the models, DomainStock, donors only for groups without loads. A plan is logged when it changes.

--- a/core/src/main/java/org/baobabspindle/core/formation/Division.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Division.java
@@ -1,10 +1,13 @@
 package org.baobabspindle.core.formation;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
 
@@ -101,6 +104,7 @@
         List<Candidate> available = new ArrayList<>(loose);
         donors.forEach(g -> available.addAll(grouped.get(g)));
         List<GroupPlanner.Plan> formed = new ArrayList<>();
+        Set<DomainState.Group> counted = new HashSet<>();
         for (int m : largestFirst) {
             for (int n = present[m];
                     n < wanted[m] && available.size() >= models.get(m).groupSize();
@@ -110,7 +114,16 @@
                 GroupPlanner.Plan plan = GroupPlanner.Plan.of(
                         models.get(m), members.stream().map(Candidate::server).toList());
                 formed.add(plan);
-                slots[m] += groupSlots * HORIZON_MILLIS / (HORIZON_MILLIS + readyMillis(plan, m, members));
+                double share = HORIZON_MILLIS / (HORIZON_MILLIS + readyMillis(plan, m, members));
+                slots[m] += groupSlots * share;
+                if (plan.loads() > 0) {
+                    // Donors serve on while their hosts load.
+                    for (DomainState.Group g : donors) {
+                        if (!Collections.disjoint(grouped.get(g), members) && counted.add(g)) {
+                            slots[models.indexOf(g.model())] += groupSlots * (1 - share);
+                        }
+                    }
+                }
             }
         }
         List<BackendServer> spares = available.stream().map(Candidate::server).toList();
--- a/core/src/main/java/org/baobabspindle/core/formation/FleetPlan.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/FleetPlan.java
@@ -33,19 +33,40 @@
             spares = List.copyOf(spares);
         }
 
-        /** Returns the donors that the first group waits for. */
-        List<GroupKey> nextDonors() {
-            if (groups.isEmpty()) {
-                return List.of();
+        /** Says what the plan comes to, for logs; empty if the domain stays as it is. */
+        String summary() {
+            if (groups.isEmpty() && donors.isEmpty()) {
+                return "";
+            }
+            List<String> parts = new ArrayList<>();
+            for (GroupPlanner.Plan g : groups) {
+                long free = g.members().stream().filter(state.free()::contains).count();
+                parts.add(String.format(
+                        "%s of %d, %d free, %d to load",
+                        g.model().name(), g.members().size(), free, g.loads()));
             }
-            List<GroupKey> result = new ArrayList<>();
-            for (DomainState.Group g : state.groups()) {
-                if (donors.contains(g.key())
-                        && g.members().stream().anyMatch(groups.get(0).members()::contains)) {
-                    result.add(g.key());
+            return String.format(
+                    "%s: %d groups, %d given up, %d spares, to form %s",
+                    state.domain(), state.groups().size(), donors.size(), spares.size(), parts);
+        }
+
+        /**
+         * Returns the donors of the first group that has any and needs no loads. Donors of a group that does serve on
+         * until its members' hosts hold the weights.
+         */
+        List<GroupKey> nextDonors() {
+            for (GroupPlanner.Plan plan : groups) {
+                List<GroupKey> result = new ArrayList<>();
+                for (DomainState.Group g : state.groups()) {
+                    if (donors.contains(g.key()) && g.members().stream().anyMatch(plan.members()::contains)) {
+                        result.add(g.key());
+                    }
+                }
+                if (!result.isEmpty() && plan.loads() == 0) {
+                    return result;
                 }
             }
-            return result;
+            return List.of();
         }
     }
 
--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -41,6 +41,7 @@
     private final Conversions conversions = new Conversions();
     private Set<BackendServer.Lifetime> known = Set.of();
     private Moment lastArrival;
+    private List<String> summary = List.of();
 
     /** Creates decisions that know of no group. */
     public Formation() {}
@@ -133,11 +134,15 @@
         List<FleetPlan.DomainPlan> own = plan.domains().stream()
                 .filter(d -> view.ownDomains().test(d.state().domain()))
                 .toList();
+        summary = own.stream()
+                .map(FleetPlan.DomainPlan::summary)
+                .filter(s -> !s.isEmpty())
+                .toList();
         int loads = form(own, view, now, actions);
         List<FormationAction> ofFree =
                 arrivalsAwaited(view, now) ? List.of() : staging.ofFreeEngines(view, own, loads, now);
         actions.addAll(ofFree);
-        actions.addAll(staging.ofServingHosts(view, bound, loads - ofFree.size(), now));
+        actions.addAll(staging.ofServingHosts(view, own, bound, loads - ofFree.size(), now));
         return actions;
     }
 
@@ -232,7 +237,7 @@
         }
         List<GroupKey> donors = chosen.get().nextDonors();
         conversions.begin(donors, now);
-        String reason = chosen.get().groups().get(0).model().name() + " is short of groups";
+        String reason = "the plan gives its engines to another model";
         for (BackendServer s : view.engines()) {
             if (s.group().filter(m -> m.head() && donors.contains(m.key())).isPresent()) {
                 orders.add(new FormationAction.Close(s, s.group().get().key(), reason), now, actions);
@@ -296,6 +301,15 @@
         released.put(key, now);
     }
 
+    /**
+     * Says what the last plan makes of this keeper's domains, for logs.
+     *
+     * @return a line for each domain that shall change
+     */
+    public List<String> summary() {
+        return summary;
+    }
+
     /**
      * Returns the models that hosts stage on this keeper's orders.
      *
--- a/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/HostStaging.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
-import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.MemberState;
 import org.baobabspindle.core.time.Moment;
@@ -139,21 +138,34 @@
     }
 
     /**
-     * Has hosts of serving groups stage a model that they do not hold, so that the engines that a lost member leaves behind
-     * can join a group of either model within seconds.
+     * Has hosts of serving groups stage what their domain lacks, so that it can form a group of each model again within
+     * seconds when engines are lost or all start anew.
      */
-    List<FormationAction> ofServingHosts(Formation.View view, Set<BackendServer> bound, int loads, Moment now) {
+    List<FormationAction> ofServingHosts(
+            Formation.View view, List<FleetPlan.DomainPlan> domains, Set<BackendServer> bound, int loads, Moment now) {
         int most = view.beforeRequests() ? loads : spareLoads(view, loads, now);
         List<FormationAction> actions = new ArrayList<>();
-        for (BackendServer s : bound) {
-            if (actions.size() >= most) {
-                break;
+        for (FleetPlan.DomainPlan d : domains) {
+            DomainStock stock = new DomainStock(view.profile(), s -> stagingNow(s.lifetime(), now));
+            List<BackendServer> settled = new ArrayList<>();
+            for (DomainState.Group g : d.state().groups()) {
+                g.members().forEach(stock::count);
+                g.members().stream()
+                        .filter(s -> bound.contains(s) && settled(view, s))
+                        .forEach(settled::add);
             }
-            Optional<EngineModel> model = settled(view, s) ? otherModel(view.profile(), s) : Optional.empty();
-            if (model.isPresent() && stagingNow(s.lifetime(), now).isEmpty()) {
-                underWay.put(s.lifetime(), UnderWay.of(model.get(), now));
-                actions.add(
-                        new FormationAction.Stage(s, NO_GROUP, model.get().name(), "the host holds no other model"));
+            d.state().free().forEach(stock::count);
+            settled.sort(Comparator.comparing(BackendServer::id));
+            for (BackendServer s : settled) {
+                Optional<EngineModel> model =
+                        stagingNow(s.lifetime(), now).isEmpty() ? stock.wanted(s) : Optional.empty();
+                if (model.isPresent() && actions.size() < most) {
+                    stock.replace(s, model.get());
+                    underWay.put(s.lifetime(), UnderWay.of(model.get(), now));
+                    String reason = "the hosts of its domain hold too little of the model";
+                    actions.add(
+                            new FormationAction.Stage(s, NO_GROUP, model.get().name(), reason));
+                }
             }
         }
         return actions;
@@ -179,16 +191,6 @@
         return Math.min(1, loads - LOADS_KEPT_FOR_GROUPS);
     }
 
-    /** Returns a model to stage: any that the engine does not hold, unless its host holds such a one already. */
-    private static Optional<EngineModel> otherModel(EngineProfile profile, BackendServer s) {
-        if (s.staged().isPresent() && !s.staged().equals(s.model())) {
-            return Optional.empty();
-        }
-        return profile.models().stream()
-                .filter(m -> !s.model().equals(Optional.of(m.name())))
-                .findFirst();
-    }
-
     private Optional<String> stagingNow(BackendServer.Lifetime engine, Moment now) {
         UnderWay u = underWay.get(engine);
         return u != null && now.isBefore(u.until())
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -56,6 +56,7 @@
     private final Set<BackendServer.Lifetime> inFlight = new HashSet<>();
     private final Map<BackendServer.Lifetime, Long> refusedStaging = new HashMap<>();
     private long epochsDrawn;
+    private List<String> loggedPlan = List.of();
 
     GroupKeeper(
             EnginePort engines,
@@ -144,6 +145,10 @@
                 allowed,
                 calm);
         List<FormationAction> actions = formation.decide(view, now);
+        if (!formation.summary().equals(loggedPlan)) {
+            loggedPlan = formation.summary();
+            log.write("plan", "the fleet or its demand has changed", "domains", loggedPlan, "loads", allowed);
+        }
         if (!calm) {
             countLoads(profile, actions, now);
         }
