Slow groups are used last; keepers of a large fleet are eight; hosts that can be spared hold the other model

A grant asked for before a release does not count (two entries could have held a partition; test fails without it). - An entry without a lease no longer gathers what only a keeper needs, ten times a second.

--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetChooser.java
@@ -18,6 +18,9 @@
     /** Spreads the choices of entries that know the same counts; about one request of twelve slots. */
     private static final double SPREAD = 0.08;
 
+    /** How much fuller the others may be before a slow target is used; its streams are late. */
+    private static final double SLOW_PENALTY = 0.6;
+
     private final AvailabilityZone zone;
     private final RandomGenerator random;
 
@@ -38,9 +41,11 @@
      * @param targets the targets
      * @param load the requests outstanding at a target, over all entries
      * @param usable whether a target may be chosen at all
+     * @param slow whether a target is slower than others of its kind
      * @return the target; empty if none has a slot free
      */
-    public Optional<Target> choose(List<Target> targets, Function<String, Integer> load, Predicate<Target> usable) {
+    public Optional<Target> choose(
+            List<Target> targets, Function<String, Integer> load, Predicate<Target> usable, Predicate<Target> slow) {
         Target best = null;
         double bestScore = Double.MAX_VALUE;
         for (Target t : targets) {
@@ -48,7 +53,7 @@
             if (outstanding >= t.slots() || !usable.test(t)) {
                 continue;
             }
-            double score = score(t, outstanding);
+            double score = score(t, outstanding) + (slow.test(t) ? SLOW_PENALTY : 0);
             if (score < bestScore) {
                 best = t;
                 bestScore = score;
--- a/core/src/main/java/org/baobabspindle/core/formation/DomainStock.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/DomainStock.java
@@ -36,7 +36,8 @@
 
     /**
      * Returns the model that a serving host should hold instead of what it holds. A host keeps a model that the domain needs
-     * all of; an empty one takes the model that is short, and where none is, one that its group does not have.
+     * all of. One that could be spared takes the model that is short, and where none is, one that its group does not have, so
+     * that the group can be given to that model within seconds.
      */
     Optional<EngineModel> wanted(BackendServer s) {
         Optional<EngineModel> kept = holding(s)
@@ -50,12 +51,12 @@
                 return Optional.of(m);
             }
         }
-        if (kept.isPresent()) {
+        if (kept.isPresent() && !s.model().equals(Optional.of(kept.get().name()))) {
             return Optional.empty();
         }
         return models.stream()
                 .filter(m -> !s.model().equals(Optional.of(m.name())))
-                .findFirst();
+                .min(Comparator.comparingDouble(m -> (double) count(m) / m.groupSize()));
     }
 
     private int count(EngineModel model) {
--- a/core/src/test/java/org/baobabspindle/core/formation/StagingPlannerTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/StagingPlannerTests.java
@@ -93,6 +93,44 @@
             assertThat(small).isEqualTo(3);
         }
 
+        /** Domains of ten with one group of four and three of two: two of these can become one of four at once. */
+        @Test
+        void hostsThatCanBeSparedHoldTheModelThatTheirGroupDoesNotHave() {
+            Fleets pairs = new Fleets(4, 2);
+            DomainStock stock = new DomainStock(pairs.situation(1).profile(), s -> Optional.empty());
+            List<BackendServer> large = loaded(pairs.engines("d0", "l", pairs.large(), 4));
+            List<BackendServer> small = loaded(pairs.engines("d0", "s", pairs.small(), 6));
+            large.forEach(stock::count);
+            small.forEach(stock::count);
+            int toLarge = 0;
+            for (BackendServer s : small) {
+                Optional<EngineModel> wanted = stock.wanted(s);
+                wanted.ifPresent(m -> stock.replace(s, m));
+                toLarge += wanted.equals(Optional.of(pairs.large())) ? 1 : 0;
+            }
+            assertThat(toLarge).isEqualTo(4);
+            assertThat(stock.wanted(small.get(5))).isEqualTo(Optional.empty());
+        }
+
+        /** Returns engines whose hosts hold the model of their group, as after a load. */
+        private List<BackendServer> loaded(List<BackendServer> engines) {
+            return engines.stream()
+                    .map(s -> new BackendServer(
+                            s.id(),
+                            s.service(),
+                            s.host(),
+                            s.port(),
+                            s.zone(),
+                            s.state(),
+                            s.slots(),
+                            s.bornMillis(),
+                            s.domain(),
+                            s.model(),
+                            s.model(),
+                            s.group()))
+                    .toList();
+        }
+
         @Test
         void aHostWhoseModelIsNeededKeepsIt() {
             DomainStock stock = stock(Map.of());
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -40,6 +40,7 @@
     private int callStatus;
     private HttpFields callHeaders = HttpFields.EMPTY;
     private boolean callStarted;
+    private Moment lastEventAt;
 
     private boolean over;
     private boolean mayHaveRun;
@@ -189,8 +190,10 @@
                 return;
             }
             for (EventSplitter.Event e : splitter.split(bytes)) {
-                context.dispatcher().event(target.orElseThrow(), !callStarted, now);
+                Optional<Duration> pause = callStarted ? Optional.of(now.since(lastEventAt)) : Optional.empty();
+                context.dispatcher().event(target.orElseThrow(), pause, now);
                 callStarted = true;
+                lastEventAt = now;
                 if (!answer.event(e)) {
                     from.cancel("events are missing");
                     return;
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import java.util.function.Function;
 import org.baobabspindle.core.dispatch.LoadBoard;
 import org.baobabspindle.core.dispatch.OfferedLoad;
+import org.baobabspindle.core.dispatch.PaceWatch;
 import org.baobabspindle.core.dispatch.RetryWindow;
 import org.baobabspindle.core.dispatch.ServerPauses;
 import org.baobabspindle.core.dispatch.SilenceWatch;
@@ -33,6 +35,8 @@
     private final LoadBoard loads = new LoadBoard();
     private final TargetHealth health = new TargetHealth();
     private final ServerPauses pauses = new ServerPauses();
+    private final PaceWatch pace = new PaceWatch();
+    private Set<String> slow = Set.of();
     private final SilenceWatch silence = new SilenceWatch();
     private final Map<TargetPool, WaitingLine<Ticket>> lines = new HashMap<>();
     private final Map<String, RetryWindow> retries = new HashMap<>();
@@ -127,7 +131,8 @@
                 totals,
                 x -> !t.avoid().contains(x.key())
                         && health.usable(x.key(), now)
-                        && pauses.usable(x.server().lifetime(), now));
+                        && pauses.usable(x.server().lifetime(), now),
+                x -> slow.contains(x.key()));
         if (target.isEmpty()) {
             return false;
         }
@@ -152,8 +157,24 @@
         }
     }
 
-    synchronized void event(Target target, boolean first, Moment now) {
-        silence.event(target.key(), first, now);
+    /** Notes an event of a stream and the pause before it; empty before its first one. */
+    synchronized void event(Target target, Optional<Duration> pause, Moment now) {
+        silence.event(target.key(), pause.isEmpty(), now);
+        pause.ifPresent(p -> pace.pause(target.key(), p, now));
+    }
+
+    /** Looks for groups that are slower than others of their model; returns those that were not slow before. */
+    synchronized Set<String> judgePace(Moment now) {
+        Set<String> found = new HashSet<>();
+        fleet.catalog()
+                .all()
+                .values()
+                .forEach(targets -> found.addAll(
+                        pace.slowAmong(targets.stream().map(Target::key).toList(), now)));
+        Set<String> fresh = new HashSet<>(found);
+        fresh.removeAll(slow);
+        slow = found;
+        return fresh;
     }
 
     /** How a request at a target ended, as far as the target's health goes. */
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
@@ -14,6 +14,15 @@
     /** The entries asked in one round; twice as many are heard, because each question tells the asker's state. */
     static final int ASKS_PER_ROUND = 8;
 
+    /**
+     * The entries that keep the groups, those with the lowest ranks that answer; several zones lose theirs before none is
+     * left, and the lease calls of a large fleet do not grow with it.
+     */
+    static final int KEEPERS = 8;
+
+    /** How long an entry stays a keeper once enough others come before it; an entry that was silent is back by then. */
+    static final Duration KEEPER_STAYS = Duration.ofSeconds(3);
+
     /** The entries up to which each one reads the store for itself; as many as there are partitions of the keepers' work. */
     private static final int SMALL_FLEET = 16;
 
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -50,6 +50,9 @@
     /** How often the keeper decides when nothing has changed. */
     private static final Duration KEEPER_TICK = Duration.ofMillis(100);
 
+    /** How often groups are compared; a slow one has sent some events by then. */
+    private static final Duration PACE_TICK = Duration.ofMillis(250);
+
     /** How long the keeper waits for further changes before it decides; lists change many times a second in a large fleet. */
     private static final Duration KEEPER_GAP = Duration.ofMillis(15);
 
@@ -90,6 +93,7 @@
     private final GatewayServer server;
     private PeerServer peerServer;
     private final AtomicBoolean keepSoon = new AtomicBoolean();
+    private Moment lastCandidate = clock.now();
     private volatile boolean announced;
 
     private GatewayNode(Platform platform, PlanPolicy policy) throws Exception {
@@ -244,6 +248,7 @@
         every(TICK, () -> context.tick(clock.now()));
         every(TICK, () -> silence.tick(clock.now()));
         every(KEEPER_TICK, this::keep);
+        every(PACE_TICK, this::judgePace);
         every(LEASE_RENEWAL, this::renewLease);
         every(FleetPace.PULSE, gossip::pulse);
         every(CENSUS, this::census);
@@ -316,7 +321,7 @@
         Moment now = clock.now();
         fleet.expire(now);
         Optional<FleetConfiguration> configuration = fleet.configuration();
-        if (configuration.isEmpty() || stopping.begun()) {
+        if (configuration.isEmpty() || stopping.begun() || lease.term(now).isEmpty()) {
             return;
         }
         keeper.tick(
@@ -358,9 +363,24 @@
                 })));
     }
 
+    private void judgePace() {
+        for (String target : context.dispatcher().judgePace(clock.now())) {
+            log.write("slow", "its streams are much slower than those of other groups", "target", target);
+        }
+    }
+
     private void renewLease() {
-        if (fleet.complete() && !stopping.begun()) {
+        if (!fleet.complete() || stopping.begun()) {
+            return;
+        }
+        Moment now = clock.now();
+        if (mesh.rankAmongAlive(now) < FleetPace.KEEPERS) {
+            lastCandidate = now;
+        }
+        if (now.since(lastCandidate).compareTo(FleetPace.KEEPER_STAYS) < 0) {
             lease.renew();
+        } else if (lease.holdsAny()) {
+            lease.release();
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
@@ -33,6 +33,9 @@
     private long generation;
     private boolean renewing;
 
+    /** Counts how often partitions were given up; a grant that was asked for before does not count any more. */
+    private int memberships;
+
     KeeperLease(PlatformStore store, String member, Duration timeToLive, GatewayClock clock, EventLog log) {
         this.store = store;
         this.member = member;
@@ -46,26 +49,31 @@
     void renew() {
         Moment askedAt = clock.now();
         long known;
+        int membership;
         synchronized (this) {
             if (renewing) {
                 return;
             }
             renewing = true;
             known = generation;
+            membership = memberships;
         }
         store.renewLease(member, timeToLive, known).whenComplete((grant, failure) -> {
             synchronized (this) {
                 renewing = false;
             }
             if (failure == null) {
-                granted(grant, askedAt);
+                granted(grant, askedAt, membership);
             }
         });
     }
 
-    private void granted(LeaseGrant grant, Moment askedAt) {
+    private void granted(LeaseGrant grant, Moment askedAt, int membership) {
         boolean gained;
         synchronized (this) {
+            if (membership != memberships) {
+                return;
+            }
             boolean lapsed = !valid(clock.now());
             Set<Integer> added = new HashSet<>(grant.partitions());
             if (!lapsed) {
@@ -117,14 +125,19 @@
         return !partitions.isEmpty();
     }
 
-    /** Gives all partitions up. */
+    /** Gives all partitions up; a later renewal joins again. */
     void release() {
         synchronized (this) {
             partitions = Set.of();
+            term = Optional.empty();
+            memberships++;
             renewing = true;
         }
-        store.releaseLease(member)
-                .whenComplete((done, failure) ->
-                        log.write("lease", failure == null ? "given up" : "not given up: " + failure.getMessage()));
+        store.releaseLease(member).whenComplete((done, failure) -> {
+            synchronized (this) {
+                renewing = false;
+            }
+            log.write("lease", failure == null ? "given up" : "not given up: " + failure.getMessage());
+        });
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -201,6 +201,13 @@
         return alive(now).size() + 1;
     }
 
+    /** Returns how many entries that answer come before this one among the candidates for keepers. */
+    int rankAmongAlive(Moment now) {
+        List<InstanceId> others =
+                alive(now).stream().map(p -> p.entry.entry().instance()).toList();
+        return KeeperRanks.rank(self.entry().instance(), others);
+    }
+
     /** Adds up the slots that the requests to all entries would fill, by model. */
     Map<String, Double> demand(Map<String, Double> own, Moment now) {
         Map<String, Double> result = new HashMap<>(own);
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/KeeperLeaseTests.java
@@ -0,0 +1,61 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.port.LeaseGrant;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class KeeperLeaseTests {
+    private static final Duration SETTLED = Duration.ofMillis(500);
+
+    private final GatewayClock clock = new GatewayClock();
+    private FakePlatform platform;
+    private KeeperLease lease;
+
+    @BeforeEach
+    void createLease() throws Exception {
+        platform = new FakePlatform(GatewayTestSupport.configuration(), List.of());
+        platform.grantPartitions(Set.of(0));
+        lease = new KeeperLease(platform, "entry/1", Duration.ofSeconds(2), clock, new EventLog());
+    }
+
+    @Test
+    void aPartitionIsHeldOnceItHasSettled() {
+        lease.renew();
+        assertThat(lease.holds(0, clock.now())).isFalse();
+        assertThat(lease.holds(0, clock.now().plus(SETTLED))).isTrue();
+    }
+
+    @Test
+    void whatWasGivenUpIsNotHeld() {
+        lease.renew();
+        lease.release();
+        assertThat(lease.holds(0, clock.now().plus(SETTLED))).isFalse();
+        assertThat(lease.holdsAny()).isFalse();
+    }
+
+    /** The store gives the partitions to another entry as soon as it hears of the release. */
+    @Test
+    void aGrantThatWasAskedForBeforeTheReleaseDoesNotCount() {
+        CompletableFuture<LeaseGrant> late = new CompletableFuture<>();
+        platform.answerRenewals(late);
+        lease.renew();
+        lease.release();
+        late.complete(new LeaseGrant(1, Set.of(0)));
+        assertThat(lease.holds(0, clock.now().plus(SETTLED))).isFalse();
+    }
+
+    @Test
+    void anEntryMayBecomeAKeeperAgain() {
+        lease.renew();
+        lease.release();
+        lease.renew();
+        assertThat(lease.holds(0, clock.now().plus(SETTLED))).isTrue();
+    }
+}
