--- a/entry/src/test/java/org/baobabspindle/gateway/ServerTroubleTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/ServerTroubleTests.java
@@ -4,7 +4,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -130,4 +137,83 @@
             checkVisibleFailure("/unsafe/x");
         }
     }
+
+    @Nested
+    class Connections {
+        /** A server sends its answer a second time on a connection that is in use again. */
+        @Test
+        void aLateSecondAnswerNeverReachesTheNextCaller() throws Exception {
+            start((request, out, socket) -> {
+                RawBackend.write(out, plain(request, "of " + RawBackend.header(request, "Id")));
+                Thread.sleep(5);
+                RawBackend.write(out, plain(request, "of " + RawBackend.header(request, "Id")));
+            });
+            int own = 0;
+            for (int i = 0; i < 30; i++) {
+                String id = "call" + i;
+                HttpRequest r = HttpRequest.newBuilder(URI.create(platform.callers() + "/unsafe/x"))
+                        .header("Id", id)
+                        .header("Key", "a-key")
+                        .POST(HttpRequest.BodyPublishers.ofString("order"))
+                        .build();
+                HttpResponse<String> answer = http.send(r, HttpResponse.BodyHandlers.ofString());
+                if (answer.statusCode() == 200) {
+                    assertThat(answer.body()).isEqualTo("of " + id);
+                    own++;
+                } else {
+                    assertThat(answer.statusCode()).isEqualTo(502);
+                }
+            }
+            assertThat(own).isGreaterThan(0);
+        }
+
+        @Test
+        void bytesThatAreNoMessageDoNotEndTheProcess() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            for (String bytes :
+                    List.of("\0\1\2\r\n\r\n", "GET\r\n\r\n", "POST /unsafe/x HTTP/1.1\r\nContent-Length: -1\r\n\r\n")) {
+                for (int port : List.of(
+                        platform.callerPort(), platform.settings().listeners().peers())) {
+                    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                        s.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+                        s.getOutputStream().flush();
+                    }
+                }
+            }
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+        }
+    }
+
+    @Nested
+    class Streams {
+        @Test
+        void aSlowSoundStreamIsNotCut() throws Exception {
+            start((request, out, socket) -> {
+                RawBackend.write(out, String.format(EVENTS_HEAD, "r1"));
+                for (int i = 0; i < 3; i++) {
+                    Thread.sleep(320);
+                    RawBackend.write(out, chunk(event(i)));
+                }
+                RawBackend.write(out, "0\r\n\r\n");
+            });
+            HttpResponse<String> answer = post("/stream/x");
+            assertThat(answer.body()).isEqualTo(event(0) + event(1) + event(2));
+            assertThat(backends.get(0).requests()).hasSize(1);
+        }
+
+        @Test
+        void aStreamThatSendsAByteNowAndThenEndsAtItsTimeout() throws Exception {
+            start((request, out, socket) -> {
+                RawBackend.write(out, String.format(EVENTS_HEAD, "r1"));
+                while (true) {
+                    Thread.sleep(100);
+                    RawBackend.write(out, chunk(":"));
+                }
+            });
+            long begun = System.nanoTime();
+            assertThat(post("/stream/x").statusCode()).isEqualTo(504);
+            assertThat(Duration.ofNanos(System.nanoTime() - begun)).isLessThan(ROUTE_TIMEOUT.plusMillis(500));
+            await(() -> backends.get(0).closedByCaller() > 0);
+        }
+    }
 }
