--- a/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
@@ -40,8 +40,8 @@
     private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(100);
     private static final Duration SERVERS_PAUSE = Duration.ofMillis(150);
 
-    /** The share of all entries' reads of changing servers that one entry takes, as a pause for each entry there is. */
-    private static final Duration PAUSE_PER_ENTRY = Duration.ofMillis(10);
+    /** How often the list is read from another entry; such a question costs no call to the store. */
+    private static final Duration RELAY_PAUSE = Duration.ofMillis(250);
 
     private FleetPace() {}
 
@@ -66,6 +66,11 @@
                 reader || entries <= SMALL_FLEET ? CONFIGURATION_LONG_POLL : RELAYED_LONG_POLL, CONFIGURATION_PAUSE);
     }
 
+    /** Returns whether entries that are no readers read the list of backend servers from others. */
+    static boolean relayed(int entries) {
+        return entries > SMALL_FLEET;
+    }
+
     /**
      * Returns how the list of backend servers is read.
      *
@@ -73,8 +78,7 @@
      * @param reader whether this entry is one that reads at short intervals, such as a keeper
      */
     static FeedLoop.Pace servers(int entries, boolean reader) {
-        Duration shared = PAUSE_PER_ENTRY.multipliedBy(entries);
-        boolean alone = reader || shared.compareTo(SERVERS_PAUSE) < 0;
-        return new FeedLoop.Pace(SERVERS_LONG_POLL, alone ? SERVERS_PAUSE : shared);
+        boolean alone = reader || !relayed(entries);
+        return new FeedLoop.Pace(SERVERS_LONG_POLL, alone ? SERVERS_PAUSE : RELAY_PAUSE);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -19,6 +19,8 @@
     private final BooleanSupplier ready;
     private final Runnable changed;
     private final ServerNotices notices;
+    private final RecentPages recent;
+    private final BooleanSupplier follows;
     private volatile Hearer hearer = (silent, now) -> {};
 
     /** Hears which engines do not answer another entry. */
@@ -33,7 +35,11 @@
             GroupKeeper keeper,
             BooleanSupplier ready,
             Runnable changed,
-            ServerNotices notices) {
+            ServerNotices notices,
+            RecentPages recent,
+            BooleanSupplier follows) {
+        this.recent = recent;
+        this.follows = follows;
         this.notices = notices;
         this.self = self;
         this.context = context;
@@ -56,7 +62,8 @@
                 context.dispatcher().ownCounts(),
                 context.dispatcher().demand(now),
                 keeper.staging(now),
-                notices.recent(now));
+                notices.recent(now),
+                follows.getAsBoolean());
     }
 
     /** Exchanges the state of this entry for that of every other one. */
@@ -92,6 +99,10 @@
         } else if (ask instanceof PeerMessage.ConfigurationAsk) {
             return new PeerMessage.ConfigurationAnswer(
                     context.fleet().configurationKey(), context.fleet().configurationText());
+        } else if (ask instanceof PeerMessage.ServersAsk s) {
+            return recent.after(s.from(), context.clock().now())
+                    .<PeerMessage>map(StoreRecords::answer)
+                    .orElse(new PeerMessage.Failed("the list is not followed here"));
         } else if (ask instanceof PeerMessage.EnginesSuspected s) {
             Set<InstanceId> ids = new HashSet<>(s.engines());
             List<BackendServer> suspects = context.fleet().servers().stream()
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -102,7 +103,8 @@
         threads.setName("gateway");
         threads.setDaemon(true);
         client = GatewayServer.client(threads);
-        store = platform.store(client);
+        RecentPages recent = new RecentPages();
+        store = new RelayedStore(platform.store(client), this::relayed, this::readFromOthers, recent, clock);
         fleet = new FleetTable(platform.decoder(), log);
         stopping = new Stopping(settings.bounds().gracePeriod());
         self = announcement();
@@ -129,7 +131,8 @@
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
         EnginePort engines = platform.engines(client, notices::answered);
         keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
-        gossip = new GatewayGossip(self, context, mesh, keeper, this::ready, this::changed, notices);
+        gossip = new GatewayGossip(
+                self, context, mesh, keeper, this::ready, this::changed, notices, recent, this::readsOften);
         silence = new SilenceGuard(context, engines, gossip::tellSuspects, log);
         gossip.hearers(silence::toldOf);
         server = new GatewayServer(settings, threads);
@@ -254,6 +257,15 @@
         every(CENSUS, this::census);
     }
 
+    /** Returns whether this entry reads the list of backend servers from others. */
+    private boolean relayed() {
+        return !readsOften() && FleetPace.relayed(mesh.entries());
+    }
+
+    private CompletableFuture<Optional<FeedPage>> readFromOthers(long from) {
+        return mesh.readServers(from, clock.now());
+    }
+
     /** Returns whether this entry reads the store at short intervals: a keeper does, and one that has not read it yet. */
     private boolean readsOften() {
         return !fleet.complete() || lease.holdsAny();
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
@@ -20,6 +21,7 @@
 import org.baobabspindle.peer.PeerMessage;
 import org.baobabspindle.peer.PeerSecret;
 import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedRecord;
 
 /** The other entries: who they are, which of them answer, and what they tell. */
@@ -41,11 +43,13 @@
     private final EventLog log;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
     private long round;
+    private long followerTurn;
 
     private static final class Peer {
         private final EntryAnnouncement entry;
         private Optional<Moment> heardAt = Optional.empty();
         private boolean ready;
+        private boolean follows;
         private boolean asking;
         private long askedInRound;
         private Map<String, Double> demand = Map.of();
@@ -140,6 +144,7 @@
         }
         p.heardAt = Optional.of(now);
         p.ready = pulse.ready();
+        p.follows = pulse.follows();
         p.demand = pulse.demand();
         p.staging = pulse.staging();
     }
@@ -149,6 +154,7 @@
         Peer p = peers.get(from.instance());
         if (p != null && p.entry.entry().equals(from)) {
             p.ready = pulse.ready();
+            p.follows = pulse.follows();
             p.demand = pulse.demand();
             p.staging = pulse.staging();
         }
@@ -180,6 +186,27 @@
         void received(String key, String text);
     }
 
+    /** Reads the list of backend servers from an entry that follows it, another one at each question. */
+    CompletableFuture<Optional<FeedPage>> readServers(long from, Moment now) {
+        Optional<Peer> follower = nextFollower(now);
+        if (follower.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return client.ask(follower.get().entry.peerAddress(), new PeerMessage.ServersAsk(from), ANSWER_TIMEOUT)
+                .handle((answer, failure) -> answer instanceof PeerMessage.ServersAnswer a
+                        ? Optional.of(StoreRecords.page(a))
+                        : Optional.empty());
+    }
+
+    private synchronized Optional<Peer> nextFollower(Moment now) {
+        List<Peer> followers = new ArrayList<>(alive(now));
+        followers.removeIf(p -> !p.follows);
+        if (followers.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(followers.get((int) (followerTurn++ % followers.size())));
+    }
+
     private synchronized List<Peer> alive(Moment now) {
         List<Peer> result = new ArrayList<>();
         Duration patience = FleetPace.alive(entries());
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -33,6 +33,8 @@
     @JsonSubTypes.Type(value = PeerMessage.ConfigurationAnswer.class, name = "N"),
     @JsonSubTypes.Type(value = PeerMessage.EnginesSuspected.class, name = "s"),
     @JsonSubTypes.Type(value = PeerMessage.Noted.class, name = "S"),
+    @JsonSubTypes.Type(value = PeerMessage.ServersAsk.class, name = "b"),
+    @JsonSubTypes.Type(value = PeerMessage.ServersAnswer.class, name = "B"),
     @JsonSubTypes.Type(value = PeerMessage.LogReadAsk.class, name = "r"),
     @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "x")
 })
@@ -150,6 +152,7 @@
      * @param demand the slots that its requests would fill, by model
      * @param staging the models that engines stage on its orders, by engine and start as {@code id/millis}
      * @param leaving the backend servers that it has seen leave, as {@code id/millis}
+     * @param follows whether it follows the list of backend servers in the store and passes it on
      */
     record Pulse(
             boolean ready,
@@ -158,7 +161,8 @@
             Map<String, Integer> loads,
             Map<String, Double> demand,
             Map<String, String> staging,
-            List<String> leaving) {
+            List<String> leaving,
+            boolean follows) {
         /** Copies the counts. */
         public Pulse {
             loads = loads == null ? Map.of() : Map.copyOf(loads);
@@ -194,6 +198,35 @@
      */
     record ConfigurationAnswer(String key, String text) implements PeerMessage {}
 
+    /**
+     * Asks for the records of backend servers that follow a position in the store.
+     *
+     * @param from the position
+     */
+    record ServersAsk(long from) implements PeerMessage {}
+
+    /**
+     * A record as it was read from the store.
+     *
+     * @param key its key
+     * @param content its bytes, each as the character of the same number; null if the key was removed
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record StoreRecord(String key, String content) {}
+
+    /**
+     * The records of backend servers that follow a position.
+     *
+     * @param records the records in their order
+     * @param next the position after them
+     */
+    record ServersAnswer(List<StoreRecord> records, long next) implements PeerMessage {
+        /** Copies the records. */
+        public ServersAnswer {
+            records = records == null ? List.of() : List.copyOf(records);
+        }
+    }
+
     /**
      * Tells that engines do not answer this gateway.
      *
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/RecentPagesTests.java
@@ -0,0 +1,120 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.port.FeedPage;
+import org.baobabspindle.port.FeedRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RecentPagesTests {
+    private static final Moment START = new Moment(0, 0);
+
+    private final RecentPages recent = new RecentPages();
+
+    private static FeedPage page(long from, int count) {
+        List<FeedRecord> records = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            records.add(new FeedRecord("s" + (from + i), Optional.of(new byte[] {1})));
+        }
+        return new FeedPage(records, from + count, false);
+    }
+
+    private static List<String> keys(FeedPage page) {
+        return page.records().stream().map(FeedRecord::key).toList();
+    }
+
+    @Test
+    void whatFollowsAPositionIsPassedOn() {
+        recent.add(10, page(10, 2), START);
+        recent.add(12, page(12, 1), START);
+        FeedPage found = recent.after(12, START).orElseThrow();
+        assertThat(keys(found)).containsExactly("s12");
+        assertThat(found.next()).isEqualTo(13);
+    }
+
+    @Test
+    void aPageMayBeginBeforeThePositionButEndsWithTheNewest() {
+        recent.add(10, page(10, 3), START);
+        FeedPage found = recent.after(11, START).orElseThrow();
+        assertThat(keys(found)).containsExactly("s10", "s11", "s12").inOrder();
+        assertThat(found.next()).isEqualTo(13);
+    }
+
+    @Test
+    void anEntryThatIsAheadHearsOfNothingNew() {
+        recent.add(10, page(10, 2), START);
+        FeedPage found = recent.after(15, START).orElseThrow();
+        assertThat(found.records()).isEmpty();
+        assertThat(found.next()).isEqualTo(15);
+    }
+
+    @Test
+    void emptyPagesProveThatNothingIsNew() {
+        recent.add(10, page(10, 2), START);
+        Moment later = START.plus(Duration.ofSeconds(10));
+        assertThat(recent.after(12, later)).isEqualTo(Optional.empty());
+        recent.add(12, page(12, 0), later);
+        assertThat(recent.after(12, later).orElseThrow().records()).isEmpty();
+    }
+
+    @Test
+    void positionsBeforeTheFirstPageAreNotKnown() {
+        recent.add(10, page(10, 2), START);
+        assertThat(recent.after(9, START)).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void aGapForgetsWhatWasBefore() {
+        recent.add(10, page(10, 2), START);
+        recent.add(20, page(20, 2), START);
+        assertThat(recent.after(11, START)).isEqualTo(Optional.empty());
+        assertThat(keys(recent.after(20, START).orElseThrow())).containsExactly("s20", "s21");
+    }
+
+    @Test
+    void longHistoriesAreForgottenAndLongAnswersDivided() {
+        long at = 0;
+        for (int i = 0; i < 100; i++) {
+            recent.add(at, page(at, 100), START);
+            at += 100;
+        }
+        assertThat(recent.after(0, START)).isEqualTo(Optional.empty());
+        long from = at - 4_000;
+        int answers = 0;
+        while (from < at) {
+            from = recent.after(from, START).orElseThrow().next();
+            answers++;
+        }
+        assertThat(answers).isEqualTo(10);
+    }
+
+    @Nested
+    class AsMessages {
+        @Test
+        void anyBytesAndRemovalsSurvive() {
+            byte[] odd = new byte[256];
+            for (int i = 0; i < odd.length; i++) {
+                odd[i] = (byte) i;
+            }
+            FeedPage page = new FeedPage(
+                    List.of(
+                            new FeedRecord("a", Optional.of(odd)),
+                            new FeedRecord("b", Optional.of("é".getBytes(StandardCharsets.UTF_8))),
+                            new FeedRecord("c", Optional.empty())),
+                    7,
+                    false);
+            FeedPage back = StoreRecords.page(StoreRecords.answer(page));
+            assertThat(back.next()).isEqualTo(7);
+            assertThat(back.records().get(0).value().orElseThrow()).isEqualTo(odd);
+            assertThat(back.records().get(1).value().orElseThrow()).isEqualTo("é".getBytes(StandardCharsets.UTF_8));
+            assertThat(back.records().get(2).value()).isEqualTo(Optional.empty());
+        }
+    }
+}
