Lab: formation of groups on a fleet of any shape; domains that have not changed are not divided anew

Then one sort per model instead of one per group; not measured yet. Plans are the same with and without the memory (FleetPlannerTests).

--- a/core/src/main/java/org/baobabspindle/core/formation/Candidate.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Candidate.java
@@ -15,9 +15,8 @@
     }
 
     /** Returns an engine that can join after a delay. */
-    static Candidate of(BackendServer server, long delayMillis, DomainOption.Situation situation) {
-        List<EngineModel> models = situation.models();
-        String staging = situation.staging().get(server.lifetime());
+    static Candidate of(BackendServer server, long delayMillis, DomainState state, List<EngineModel> models) {
+        String staging = state.staging().get(server.lifetime());
         long[] ready = new long[models.size()];
         for (int m = 0; m < ready.length; m++) {
             EngineModel model = models.get(m);
--- a/core/src/main/java/org/baobabspindle/core/formation/Division.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Division.java
@@ -48,8 +48,8 @@
             largestFirst.add(m);
         }
         largestFirst.sort(Comparator.comparingInt(m -> -models.get(m).groupSize()));
-        state.free().forEach(s -> loose.add(Candidate.of(s, 0, situation)));
-        state.ending().forEach(s -> loose.add(Candidate.of(s, ENDING_MILLIS, situation)));
+        state.free().forEach(s -> loose.add(Candidate.of(s, 0, state, models)));
+        state.ending().forEach(s -> loose.add(Candidate.of(s, ENDING_MILLIS, state, models)));
         present = new int[models.size()];
         forming = new int[models.size()];
         for (DomainState.Group g : state.groups()) {
@@ -58,7 +58,7 @@
             grouped.put(
                     g,
                     g.members().stream()
-                            .map(s -> Candidate.of(s, CLOSING_MILLIS, situation))
+                            .map(s -> Candidate.of(s, CLOSING_MILLIS, state, models))
                             .toList());
         }
     }
@@ -106,11 +106,13 @@
         List<GroupPlanner.Plan> formed = new ArrayList<>();
         Set<DomainState.Group> counted = new HashSet<>();
         for (int m : largestFirst) {
-            for (int n = present[m];
-                    n < wanted[m] && available.size() >= models.get(m).groupSize();
-                    n++) {
-                List<Candidate> members = soonest(m, available);
-                available.removeAll(members);
+            int size = models.get(m).groupSize();
+            if (wanted[m] > present[m]) {
+                available.sort(soonest(m));
+            }
+            for (int n = present[m]; n < wanted[m] && available.size() >= size; n++) {
+                List<Candidate> members = List.copyOf(available.subList(0, size));
+                available.subList(0, size).clear();
                 GroupPlanner.Plan plan = GroupPlanner.Plan.of(
                         models.get(m), members.stream().map(Candidate::server).toList());
                 formed.add(plan);
@@ -157,13 +159,10 @@
         return sum;
     }
 
-    /** Chooses the engines of a group: those that join soonest, and of these the ones that other models gain least from. */
-    private List<Candidate> soonest(int model, List<Candidate> available) {
-        List<Candidate> sorted = new ArrayList<>(available);
-        sorted.sort(Comparator.comparingLong((Candidate c) -> c.readyMillis(model))
-                .thenComparingLong(c -> -c.readyMillisElsewhere(model))
-                .thenComparing(c -> c.server().id()));
-        return List.copyOf(sorted.subList(0, models.get(model).groupSize()));
+    /** Puts the engines first that join soonest, and of these the ones that other models gain least from. */
+    private static Comparator<Candidate> soonest(int model) {
+        return Comparator.comparingLong((Candidate c) -> c.readyMillis(model))
+                .thenComparingLong(c -> -c.readyMillisElsewhere(model));
     }
 
     private double readyMillis(GroupPlanner.Plan plan, int model, List<Candidate> members) {
--- a/core/src/main/java/org/baobabspindle/core/formation/DomainOption.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/DomainOption.java
@@ -1,8 +1,6 @@
 package org.baobabspindle.core.formation;
 
 import java.util.List;
-import java.util.Map;
-import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
 import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.PlanPolicy;
@@ -49,10 +47,8 @@
      * @param profile the engines
      * @param policy what the users weigh against each other
      * @param loadsFast whether loads are fast, as before the first request
-     * @param staging the models that hosts are staging
      */
-    record Situation(
-            EngineProfile profile, PlanPolicy policy, boolean loadsFast, Map<BackendServer.Lifetime, String> staging) {
+    record Situation(EngineProfile profile, PlanPolicy policy, boolean loadsFast) {
         List<EngineModel> models() {
             return profile.models();
         }
--- a/core/src/main/java/org/baobabspindle/core/formation/DomainState.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/DomainState.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
 import org.baobabspindle.core.fleet.GroupKey;
@@ -14,12 +15,19 @@
  * @param groups the groups that serve or are being formed
  * @param free the sound engines in no group
  * @param ending the sound engines of groups that are coming to their end
+ * @param staging the models that its hosts are staging
  */
-record DomainState(FabricDomain domain, List<Group> groups, List<BackendServer> free, List<BackendServer> ending) {
+record DomainState(
+        FabricDomain domain,
+        List<Group> groups,
+        List<BackendServer> free,
+        List<BackendServer> ending,
+        Map<BackendServer.Lifetime, String> staging) {
     DomainState {
         groups = List.copyOf(groups);
         free = List.copyOf(free);
         ending = List.copyOf(ending);
+        staging = Map.copyOf(staging);
     }
 
     /**
--- a/core/src/main/java/org/baobabspindle/core/formation/DomainStates.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/DomainStates.java
@@ -1,6 +1,8 @@
 package org.baobabspindle.core.formation;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,9 +35,35 @@
                         d, x -> new Parts(new ArrayList<>(), new ArrayList<>(), new ArrayList<>())));
     }
 
-    List<DomainState> all() {
+    /** Returns the states, each in an order that does not depend on that of the list. */
+    List<DomainState> all(Map<BackendServer.Lifetime, String> staging) {
         List<DomainState> result = new ArrayList<>();
-        domains.forEach((d, p) -> result.add(new DomainState(d, p.groups(), p.free(), p.ending())));
+        domains.forEach((d, p) -> {
+            p.groups()
+                    .sort(Comparator.comparing((DomainState.Group g) -> g.key().epoch())
+                            .thenComparing(g -> g.key().name()));
+            p.free().sort(Comparator.comparing(BackendServer::id));
+            p.ending().sort(Comparator.comparing(BackendServer::id));
+            result.add(new DomainState(d, p.groups(), p.free(), p.ending(), staged(p, staging)));
+        });
+        return result;
+    }
+
+    private static Map<BackendServer.Lifetime, String> staged(
+            Parts parts, Map<BackendServer.Lifetime, String> staging) {
+        Map<BackendServer.Lifetime, String> result = new HashMap<>();
+        if (staging.isEmpty()) {
+            return result;
+        }
+        List<BackendServer> all = new ArrayList<>(parts.free());
+        all.addAll(parts.ending());
+        parts.groups().forEach(g -> all.addAll(g.members()));
+        for (BackendServer s : all) {
+            String model = staging.get(s.lifetime());
+            if (model != null) {
+                result.put(s.lifetime(), model);
+            }
+        }
         return result;
     }
 }
--- a/core/src/main/java/org/baobabspindle/core/formation/FleetPlanner.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/FleetPlanner.java
@@ -28,14 +28,15 @@
     private final double[] totals;
     private final int[] chosen;
 
-    private FleetPlanner(List<DomainState> domains, DomainOption.Situation situation, ModelDemand wanted) {
+    private FleetPlanner(
+            List<DomainState> domains, DomainOption.Situation situation, ModelDemand wanted, DomainOptionsCache cache) {
         demand = situation.models().stream()
                 .mapToDouble(m -> wanted.slots(m.name()))
                 .toArray();
         totals = new double[demand.length];
         chosen = new int[domains.size()];
         for (DomainState d : domains) {
-            options.add(DomainOption.all(d, situation));
+            options.add(cache.options(d, situation));
         }
     }
 
@@ -45,9 +46,11 @@
      * @param domains the domains as they are
      * @param situation what they are planned with
      * @param wanted the demand for each model
+     * @param cache remembers what was found for domains
      * @return the plan
      */
-    static FleetPlan plan(List<DomainState> domains, DomainOption.Situation situation, ModelDemand wanted) {
+    static FleetPlan plan(
+            List<DomainState> domains, DomainOption.Situation situation, ModelDemand wanted, DomainOptionsCache cache) {
         List<DomainState> sorted = new ArrayList<>(domains);
         sorted.sort(Comparator.comparing(DomainState::domain));
         if (situation.models().isEmpty()) {
@@ -55,7 +58,8 @@
                     .map(d -> new FleetPlan.DomainPlan(d, List.of(), List.of(), d.free()))
                     .toList());
         }
-        FleetPlanner planner = new FleetPlanner(sorted, situation, wanted);
+        cache.retain(sorted);
+        FleetPlanner planner = new FleetPlanner(sorted, situation, wanted, cache);
         planner.climb();
         return planner.result();
     }
--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -39,6 +39,7 @@
     private final Dissolution dissolution = new Dissolution(orders);
     private final HostStaging staging = new HostStaging();
     private final Conversions conversions = new Conversions();
+    private final DomainOptionsCache options = new DomainOptionsCache();
     private Set<BackendServer.Lifetime> known = Set.of();
     private Moment lastArrival;
     private List<String> summary = List.of();
@@ -127,9 +128,10 @@
             }
         }
         FleetPlan plan = FleetPlanner.plan(
-                states.all(),
-                new DomainOption.Situation(view.profile(), view.policy(), view.beforeRequests(), staging.all(now)),
-                view.demand());
+                states.all(staging.all(now)),
+                new DomainOption.Situation(view.profile(), view.policy(), view.beforeRequests()),
+                view.demand(),
+                options);
         convert(plan, view, now, actions);
         List<FleetPlan.DomainPlan> own = plan.domains().stream()
                 .filter(d -> view.ownDomains().test(d.state().domain()))
--- a/core/src/test/java/org/baobabspindle/core/formation/FleetPlannerProperties.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FleetPlannerProperties.java
@@ -33,7 +33,7 @@
         List<EngineModel> models = situation.models();
         double asItIs = FleetPlanner.value(options.stream().map(o -> o.get(0)).toList(), models, demand);
         double best = best(options, new ArrayList<>(), models, demand);
-        FleetPlan plan = FleetPlanner.plan(domains, situation, demand);
+        FleetPlan plan = Fleets.plan(domains, situation, demand);
         List<DomainOption> chosen = new ArrayList<>();
         for (int i = 0; i < options.size(); i++) {
             FleetPlan.DomainPlan p = plan.domains().get(i);
--- a/core/src/test/java/org/baobabspindle/core/formation/FleetPlannerTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FleetPlannerTests.java
@@ -54,6 +54,23 @@
         assertThat(plan(domains)).isEqualTo(first);
     }
 
+    @Test
+    void aPlanWithRememberedDomainsIsTheSame() {
+        DomainOptionsCache cache = new DomainOptionsCache();
+        List<DomainState> domains = settled(6);
+        Random random = new Random(7);
+        for (int i = 0; i < 30; i++) {
+            int at = random.nextInt(domains.size());
+            String name = domains.get(at).domain().value();
+            List<BackendServer> free = Fleets.empty(name, random.nextInt(9));
+            domains.set(at, fleets.domain(name, random.nextInt(2), 1, free));
+            ModelDemand demand = Fleets.demand(20 + random.nextInt(90), 20 + random.nextInt(60));
+            FleetPlan fresh = Fleets.plan(domains, fleets.situation(1), demand);
+            assertThat(FleetPlanner.plan(domains, fleets.situation(1), demand, cache))
+                    .isEqualTo(fresh);
+        }
+    }
+
     @Nested
     class AfterALoss {
         @Test
@@ -107,7 +124,7 @@
             members.remove(random.nextInt(members.size()));
             free.addAll(members);
             free.add(Engines.free(d.domain().value() + "-new" + loss, d.domain().value()));
-            return new DomainState(d.domain(), left, free, List.of());
+            return new DomainState(d.domain(), left, free, List.of(), Map.of());
         }
 
         /** Every group that the plan names is formed; spares hold the large model. */
@@ -153,7 +170,7 @@
         /** The small model is short; a large group could become two small ones. */
         private FleetPlan planWith(double downtimeWeight) {
             List<DomainState> domains = settled(6);
-            return FleetPlanner.plan(domains, fleets.situation(downtimeWeight), Fleets.demand(50, 150));
+            return Fleets.plan(domains, fleets.situation(downtimeWeight), Fleets.demand(50, 150));
         }
 
         @Test
@@ -182,8 +199,7 @@
                 double share = 0.2 + 0.6 * random.nextDouble();
                 double wantedLarge = room * share / largeSize;
                 double wantedSmall = room * (1 - share) / smallSize;
-                FleetPlan plan =
-                        FleetPlanner.plan(domains, shape.beforeRequests(), Fleets.demand(wantedLarge, wantedSmall));
+                FleetPlan plan = Fleets.plan(domains, shape.beforeRequests(), Fleets.demand(wantedLarge, wantedSmall));
                 double large = Fleets.groups(plan, shape.large()) * Fleets.SLOTS / wantedLarge;
                 double small = Fleets.groups(plan, shape.small()) * Fleets.SLOTS / wantedSmall;
                 String what = String.format(
@@ -227,7 +243,7 @@
         void modelsThatFitNoDomainAreLeftOutAndTheOthersServed() {
             Fleets shape = new Fleets(30, 3);
             List<DomainState> domains = List.of(shape.domain("d0", 0, 0, Fleets.empty("d0", 11)));
-            FleetPlan plan = FleetPlanner.plan(domains, shape.beforeRequests(), Fleets.demand(50, 50));
+            FleetPlan plan = Fleets.plan(domains, shape.beforeRequests(), Fleets.demand(50, 50));
             assertThat(Fleets.groups(plan, shape.large())).isEqualTo(0);
             assertThat(Fleets.groups(plan, shape.small())).isEqualTo(3);
         }
@@ -238,13 +254,10 @@
         List<BackendServer> free = new ArrayList<>(fleets.engines("d0", "survivor", fleets.large(), 5));
         free.addAll(Fleets.empty("d0", 2));
         BackendServer staging = free.get(6);
-        DomainOption.Situation s = new DomainOption.Situation(
-                fleets.situation(1).profile(),
-                fleets.situation(1).policy(),
-                false,
-                Map.of(staging.lifetime(), "large"));
-        FleetPlan plan = FleetPlanner.plan(
-                List.of(fleets.domain("d0", 0, 1, free)), s, Fleets.demand(WANTED_LARGE, WANTED_SMALL));
+        DomainState bare = fleets.domain("d0", 0, 1, free);
+        DomainState state =
+                new DomainState(bare.domain(), bare.groups(), free, List.of(), Map.of(staging.lifetime(), "large"));
+        FleetPlan plan = fleets.plan(List.of(state), WANTED_LARGE, WANTED_SMALL);
         Optional<GroupPlanner.Plan> large =
                 plan.domains().get(0).groups().stream().findFirst();
         assertThat(large.orElseThrow().members()).contains(staging);
--- a/core/src/test/java/org/baobabspindle/core/formation/Fleets.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/Fleets.java
@@ -36,15 +36,19 @@
     }
 
     DomainOption.Situation situation(double downtimeWeight) {
-        return new DomainOption.Situation(profile, new PlanPolicy(downtimeWeight), false, Map.of());
+        return new DomainOption.Situation(profile, new PlanPolicy(downtimeWeight), false);
     }
 
     DomainOption.Situation beforeRequests() {
-        return new DomainOption.Situation(profile, PlanPolicy.EVEN, true, Map.of());
+        return new DomainOption.Situation(profile, PlanPolicy.EVEN, true);
     }
 
     FleetPlan plan(List<DomainState> domains, double wantedLarge, double wantedSmall) {
-        return FleetPlanner.plan(domains, situation(1), demand(wantedLarge, wantedSmall));
+        return plan(domains, situation(1), demand(wantedLarge, wantedSmall));
+    }
+
+    static FleetPlan plan(List<DomainState> domains, DomainOption.Situation situation, ModelDemand wanted) {
+        return FleetPlanner.plan(domains, situation, wanted, new DomainOptionsCache());
     }
 
     static ModelDemand demand(double large, double small) {
@@ -64,7 +68,7 @@
             groups.add(new DomainState.Group(
                     new GroupKey("g" + ++epoch, epoch), model, engines(name, "m" + i, model, model.groupSize()), true));
         }
-        return new DomainState(FabricDomain.of(name), groups, free, ending);
+        return new DomainState(FabricDomain.of(name), groups, free, ending, Map.of());
     }
 
     /** Returns engines whose last group had a model, while their hosts hold the other one. */
--- a/core/src/test/java/org/baobabspindle/core/formation/StagingPlannerTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/StagingPlannerTests.java
@@ -58,7 +58,7 @@
                     .toList();
             groups.add(new DomainState.Group(g.key(), g.model(), members, true));
         }
-        FleetPlan.DomainPlan plan = plan(new DomainState(bare.domain(), groups, free, List.of()), 90, 18);
+        FleetPlan.DomainPlan plan = plan(new DomainState(bare.domain(), groups, free, List.of(), Map.of()), 90, 18);
         assertThat(plan.donors()).hasSize(1);
         assertThat(plan.nextDonors()).isEmpty();
         List<StagingPlanner.Batch> batches = StagingPlanner.plan(plan);
--- a/lab/src/main/java/org/baobabspindle/lab/LabMain.java
+++ b/lab/src/main/java/org/baobabspindle/lab/LabMain.java
@@ -23,7 +23,8 @@
                 "slopes", new SlopesExperiment(),
                 "routing", new RoutingExperiment(),
                 "placement", new PlacementExperiment(),
-                "limits", new LimitsExperiment()));
+                "limits", new LimitsExperiment(),
+                "formation", new FormationExperiment()));
         Experiment chosen = args.length == 0 ? null : all.get(args[0]);
         if (chosen == null) {
             System.err.println("usage: EXPERIMENT [OPTIONS], one of " + all.keySet());
