--- a/core/src/main/java/org/baobabspindle/core/dispatch/LoadBoard.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/LoadBoard.java
@@ -17,6 +17,7 @@
 
     private final Map<String, Integer> own = new HashMap<>();
     private final Map<InstanceId, PeerCounts> peers = new HashMap<>();
+    private final Map<String, Integer> ofPeers = new HashMap<>();
 
     /** Creates an empty board. */
     public LoadBoard() {}
@@ -49,7 +50,11 @@
      * @param now the present time
      */
     public void peerCounts(InstanceId entry, Map<String, Integer> counts, Moment now) {
-        peers.put(entry, new PeerCounts(Map.copyOf(counts), now));
+        PeerCounts before = peers.put(entry, new PeerCounts(Map.copyOf(counts), now));
+        if (before != null) {
+            add(before.counts(), -1);
+        }
+        add(counts, 1);
     }
 
     /**
@@ -78,13 +83,17 @@
      * @return a function from the key of a target to the requests outstanding there
      */
     public Function<String, Integer> totals(Moment now) {
-        peers.values().removeIf(p -> now.since(p.receivedAt()).compareTo(PEER_COUNT_LIFETIME) > 0);
-        return target -> {
-            int total = own.getOrDefault(target, 0);
-            for (PeerCounts p : peers.values()) {
-                total += p.counts().getOrDefault(target, 0);
+        peers.values().removeIf(p -> {
+            boolean old = now.since(p.receivedAt()).compareTo(PEER_COUNT_LIFETIME) > 0;
+            if (old) {
+                add(p.counts(), -1);
             }
-            return total;
-        };
+            return old;
+        });
+        return target -> own.getOrDefault(target, 0) + ofPeers.getOrDefault(target, 0);
+    }
+
+    private void add(Map<String, Integer> counts, int sign) {
+        counts.forEach((target, n) -> ofPeers.merge(target, sign * n, (a, b) -> a + b == 0 ? null : a + b));
     }
 }
--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetChooser.java
@@ -1,5 +1,7 @@
 package org.baobabspindle.core.dispatch;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -38,6 +40,8 @@
     /**
      * Chooses among the targets that have a slot free.
      *
+     * @param choices how many of them, drawn at random, are compared; few where many entries know the same old counts, since
+     *     all of them would else send to the one that was emptiest then
      * @param targets the targets
      * @param load the requests outstanding at a target, over all entries
      * @param usable whether a target may be chosen at all
@@ -45,15 +49,24 @@
      * @return the target; empty if none has a slot free
      */
     public Optional<Target> choose(
-            List<Target> targets, Function<String, Integer> load, Predicate<Target> usable, Predicate<Target> slow) {
-        Target best = null;
-        double bestScore = Double.MAX_VALUE;
+            int choices,
+            List<Target> targets,
+            Function<String, Integer> load,
+            Predicate<Target> usable,
+            Predicate<Target> slow) {
+        List<Target> open = new ArrayList<>();
         for (Target t : targets) {
-            int outstanding = load.apply(t.key());
-            if (outstanding >= t.slots() || !usable.test(t)) {
-                continue;
+            if (load.apply(t.key()) < t.slots() && usable.test(t)) {
+                open.add(t);
             }
-            double score = score(t, outstanding) + (slow.test(t) ? SLOW_PENALTY : 0);
+        }
+        for (int i = 0; choices < open.size() && i < choices; i++) {
+            Collections.swap(open, i, i + random.nextInt(open.size() - i));
+        }
+        Target best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (Target t : open.subList(0, Math.min(choices, open.size()))) {
+            double score = score(t, load.apply(t.key())) + (slow.test(t) ? SLOW_PENALTY : 0);
             if (score < bestScore) {
                 best = t;
                 bestScore = score;
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import org.baobabspindle.core.dispatch.LoadBoard;
 import org.baobabspindle.core.dispatch.OfferedLoad;
 import org.baobabspindle.core.dispatch.PaceWatch;
@@ -31,6 +32,7 @@
 final class Dispatcher {
     private final FleetTable fleet;
     private final TargetChooser chooser;
+    private final IntSupplier entries;
     private final GatewaySettings.Bounds bounds;
     private final LoadBoard loads = new LoadBoard();
     private final TargetHealth health = new TargetHealth();
@@ -44,7 +46,13 @@
 
     private final Executor workers;
 
-    Dispatcher(FleetTable fleet, TargetChooser chooser, GatewaySettings.Bounds bounds, Executor workers) {
+    Dispatcher(
+            FleetTable fleet,
+            TargetChooser chooser,
+            IntSupplier entries,
+            GatewaySettings.Bounds bounds,
+            Executor workers) {
+        this.entries = entries;
         this.workers = workers;
         this.fleet = fleet;
         this.chooser = chooser;
@@ -125,8 +133,10 @@
     }
 
     private boolean assign(Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
+        int choices = FleetPace.choices(entries.getAsInt());
         List<Target> targets = fleet.catalog().targets(t.pool());
         Optional<Target> target = chooser.choose(
+                choices,
                 targets,
                 totals,
                 x -> !t.avoid().contains(x.key())
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetPace.java
@@ -14,14 +14,8 @@
     /** The entries asked in one round; twice as many are heard, because each question tells the asker's state. */
     static final int ASKS_PER_ROUND = 8;
 
-    /**
-     * The entries that keep the groups, those with the lowest ranks that answer; several zones lose theirs before none is
-     * left, and the lease calls of a large fleet do not grow with it.
-     */
-    static final int KEEPERS = 8;
-
-    /** How long an entry stays a keeper once enough others come before it; an entry that was silent is back by then. */
-    static final Duration KEEPER_STAYS = Duration.ofSeconds(3);
+    /** The targets compared where counts are old; with all of them, entries send to the same ones (TargetChooserTests). */
+    private static final int CHOICES = 2;
 
     /** The entries up to which each one reads the store for itself; as many as there are partitions of the keepers' work. */
     private static final int SMALL_FLEET = 16;
@@ -66,6 +60,11 @@
                 reader || entries <= SMALL_FLEET ? CONFIGURATION_LONG_POLL : RELAYED_LONG_POLL, CONFIGURATION_PAUSE);
     }
 
+    /** Returns how many targets an entry compares for a request; all where the counts of others are not old. */
+    static int choices(int entries) {
+        return entries > SMALL_FLEET ? CHOICES : Integer.MAX_VALUE;
+    }
+
     /** Returns whether entries that are no readers read the list of backend servers from others. */
     static boolean relayed(int entries) {
         return entries > SMALL_FLEET;
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -19,7 +19,6 @@
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.PlanPolicy;
-import org.baobabspindle.core.formation.FleetCensus;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.time.Moment;
@@ -94,7 +93,7 @@
     private final GatewayServer server;
     private PeerServer peerServer;
     private final AtomicBoolean keepSoon = new AtomicBoolean();
-    private Moment lastCandidate = clock.now();
+    private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
     private GatewayNode(Platform platform, PlanPolicy policy) throws Exception {
@@ -111,8 +110,8 @@
         mesh = new PeerMesh(self, peerWorkers, traffic, log);
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
-        Dispatcher dispatcher =
-                new Dispatcher(fleet, new TargetChooser(settings.zone(), random.split()), settings.bounds(), threads);
+        Dispatcher dispatcher = new Dispatcher(
+                fleet, new TargetChooser(settings.zone(), random.split()), mesh::entries, settings.bounds(), threads);
         ServerNotices notices = new ServerNotices(clock, log, noticesTo(dispatcher));
         context = new GatewayContext(
                 clock,
@@ -348,31 +347,13 @@
 
     /** Logs what the engines do, so that a shortage can be told from the log of any entry. */
     private void census() {
+        Moment now = clock.now();
         fleet.configuration()
-                .ifPresent(c -> c.services().forEach(s -> s.engine().ifPresent(profile -> {
-                    FleetCensus census = FleetCensus.of(
-                            profile,
-                            fleet.servers().stream()
-                                    .filter(x -> x.service().equals(s.name()))
-                                    .toList());
-                    log.write(
-                            "census",
-                            "periodic",
-                            "service",
-                            s.name(),
-                            "engines",
-                            census.engines(),
-                            "serving",
-                            census.serving(),
-                            "joining",
-                            census.joining(),
-                            "stranded",
-                            census.stranded(),
-                            "idle",
-                            census.idle(),
-                            "demand",
-                            mesh.demand(context.dispatcher().demand(clock.now()), clock.now()));
-                })));
+                .ifPresent(c -> CensusLog.write(
+                        log,
+                        c,
+                        fleet.servers(),
+                        mesh.demand(context.dispatcher().demand(now), now)));
     }
 
     private void judgePace() {
@@ -386,14 +367,7 @@
             return;
         }
         Moment now = clock.now();
-        if (mesh.rankAmongAlive(now) < FleetPace.KEEPERS) {
-            lastCandidate = now;
-        }
-        if (now.since(lastCandidate).compareTo(FleetPace.KEEPER_STAYS) < 0) {
-            lease.renew();
-        } else if (lease.holdsAny()) {
-            lease.release();
-        }
+        candidacy.decide(mesh.rankAmongAlive(now), lease.holdsAny(), now).take(lease);
     }
 
     private boolean ready() {
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperCandidacy.java
@@ -0,0 +1,67 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import org.baobabspindle.core.time.Moment;
+
+/**
+ * Decides when an entry is a keeper. Answers a large fleet, in which all entries would renew the lease, and entries that are
+ * silent for a moment, whose places others take and give back.
+ */
+final class KeeperCandidacy {
+    /** The entries that are keepers, those with the lowest ranks that answer; several zones lose theirs before none is left. */
+    static final int KEEPERS = 8;
+
+    /** How long an entry stays a keeper once enough others come before it; an entry that was silent is back by then. */
+    static final Duration STAYS = Duration.ofSeconds(3);
+
+    private Moment lastCandidate;
+
+    /** Creates the candidacy of an entry that has just started. */
+    KeeperCandidacy(Moment now) {
+        lastCandidate = now;
+    }
+
+    /** What an entry does about its lease. */
+    enum Step {
+        /** Renews it, or asks for one. */
+        RENEW {
+            @Override
+            void take(KeeperLease lease) {
+                lease.renew();
+            }
+        },
+        /** Gives it up. */
+        RELEASE {
+            @Override
+            void take(KeeperLease lease) {
+                lease.release();
+            }
+        },
+        /** Has none and wants none. */
+        NOTHING {
+            @Override
+            void take(KeeperLease lease) {
+                // The lease lapses by itself, if there ever was one.
+            }
+        };
+
+        abstract void take(KeeperLease lease);
+    }
+
+    /**
+     * Decides what to do now.
+     *
+     * @param rank how many entries that answer come before this one
+     * @param holds whether this entry holds partitions
+     * @param now the present time
+     */
+    Step decide(int rank, boolean holds, Moment now) {
+        if (rank < KEEPERS) {
+            lastCandidate = now;
+        }
+        if (now.since(lastCandidate).compareTo(STAYS) < 0) {
+            return Step.RENEW;
+        }
+        return holds ? Step.RELEASE : Step.NOTHING;
+    }
+}
--- a/entry/src/test/java/org/baobabspindle/gateway/FleetPaceTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetPaceTests.java
@@ -18,7 +18,7 @@
     private static final double READS_PER_SECOND = 6_000;
 
     /** Keepers, and as many that have just become or ceased to be some. */
-    private static final int READERS = 2 * FleetPace.KEEPERS;
+    private static final int READERS = 2 * KeeperCandidacy.KEEPERS;
 
     private static double readsPerSecond(FeedLoop.Pace pace) {
         return 1_000.0 / Math.max(1, pace.pause().toMillis());
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/KeeperCandidacyTests.java
@@ -0,0 +1,45 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.baobabspindle.core.time.Moment;
+import org.junit.jupiter.api.Test;
+
+class KeeperCandidacyTests {
+    private static final Moment START = new Moment(0, 0);
+
+    private final KeeperCandidacy candidacy = new KeeperCandidacy(START);
+
+    private static Moment at(long millis) {
+        return START.plus(Duration.ofMillis(millis));
+    }
+
+    @Test
+    void anEntryWithALowRankRenewsAlways() {
+        for (int i = 0; i < 60; i++) {
+            assertThat(candidacy.decide(KeeperCandidacy.KEEPERS - 1, true, at(i * 350L)))
+                    .isEqualTo(KeeperCandidacy.Step.RENEW);
+        }
+    }
+
+    @Test
+    void anEntryThatOthersComeBeforeGivesItsPartitionsUpAfterAWhile() {
+        assertThat(candidacy.decide(20, true, at(1_000))).isEqualTo(KeeperCandidacy.Step.RENEW);
+        assertThat(candidacy.decide(20, true, at(3_000))).isEqualTo(KeeperCandidacy.Step.RELEASE);
+        assertThat(candidacy.decide(20, false, at(3_350))).isEqualTo(KeeperCandidacy.Step.NOTHING);
+    }
+
+    @Test
+    void aMomentOfSilenceOfOthersChangesNothingForLong() {
+        candidacy.decide(20, false, at(5_000));
+        assertThat(candidacy.decide(5, false, at(5_350))).isEqualTo(KeeperCandidacy.Step.RENEW);
+        assertThat(candidacy.decide(20, true, at(8_400))).isEqualTo(KeeperCandidacy.Step.RELEASE);
+    }
+
+    /** An entry that hears of nobody cannot know whether others keep the groups; the store gives each partition to one. */
+    @Test
+    void anEntryThatIsCutOffFromAllOthersAsksForALease() {
+        assertThat(candidacy.decide(0, false, at(60_000))).isEqualTo(KeeperCandidacy.Step.RENEW);
+    }
+}
