A configuration that changes a model while a group of it is formed does not stop the keeper

Cause: a group being formed kept the model of the older configuration, which the plan did not find among its models: index -1, and no decision until the group was given up. Found by reading. FormationTests.ChangedConfiguration: 2 of 3 failed first.

--- a/core/src/main/java/org/baobabspindle/core/formation/Formation.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/Formation.java
@@ -208,7 +208,9 @@
         view.engines().forEach(s -> listed.put(s.lifetime(), s));
         for (Map.Entry<GroupKey, Forming> e : List.copyOf(forming.entrySet())) {
             GroupPlanner.Plan plan = e.getValue().plan();
-            if (!e.getValue().stillPossible(e.getKey(), view, now)) {
+            // The configuration may have changed the model since, or taken it away.
+            Optional<EngineModel> model = view.profile().model(plan.model().name());
+            if (model.isEmpty() || !e.getValue().stillPossible(e.getKey(), view, now)) {
                 forming.remove(e.getKey());
                 continue;
             }
@@ -216,7 +218,7 @@
             List<BackendServer> members =
                     plan.members().stream().map(m -> listed.get(m.lifetime())).toList();
             bound.addAll(members);
-            states.group(new DomainState.Group(e.getKey(), plan.model(), members, false));
+            states.group(new DomainState.Group(e.getKey(), model.get(), members, false));
         }
     }
 
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTestSupport.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTestSupport.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.MemberState;
 import org.baobabspindle.core.fleet.PlanPolicy;
@@ -28,13 +29,13 @@
     Map<String, Double> demand = Map.of();
     long epochs = 100;
     boolean beforeRequests;
+    EngineProfile profile = Engines.PROFILE;
 
     List<FormationAction> decide(Collection<BackendServer> engines, Moment now) {
-        ModelDemand wanted =
-                demand.isEmpty() ? ModelDemand.expected(Engines.PROFILE, engines.size()) : ModelDemand.of(demand);
+        ModelDemand wanted = demand.isEmpty() ? ModelDemand.expected(profile, engines.size()) : ModelDemand.of(demand);
         return formation.decide(
                 new Formation.View(
-                        Engines.PROFILE,
+                        profile,
                         engines,
                         Set.copyOf(lost),
                         d -> !others.contains(d.value()),
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
+import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.GroupKey;
 import org.baobabspindle.core.fleet.MemberState;
 import org.junit.jupiter.api.Nested;
@@ -62,6 +64,53 @@
         }
     }
 
+    @Nested
+    class ChangedConfiguration {
+        private void changeTo(EngineModel... models) {
+            EngineProfile old = Engines.PROFILE;
+            profile = new EngineProfile(
+                    old.slots(),
+                    old.stepMillis(),
+                    old.stepMillisPerSequence(),
+                    old.prefillTokensPerSecond(),
+                    old.stride(),
+                    old.loadsPerSecond(),
+                    old.loadsAtOnce(),
+                    old.formTime(),
+                    List.of(models));
+        }
+
+        private void beginToForm() {
+            beforeRequests = true;
+            decide(domain(4), at(-1_000));
+            assertThat(decide(domain(4), START)).isNotEmpty();
+        }
+
+        @Test
+        void aGroupIsFormedOnWhenItsModelChanges() {
+            beginToForm();
+            EngineModel faster = new EngineModel("small", 2, 0.5, 0.4, Duration.ofSeconds(9), Duration.ofMillis(900));
+            EngineModel other = new EngineModel("large", 4, 1.0, 0.6, Duration.ofSeconds(9), Duration.ofMillis(900));
+            changeTo(other, faster);
+            assertThat(decide(domain(4), at(100))).isEmpty();
+        }
+
+        @Test
+        void aGroupOfAModelThatIsGoneIsGivenUp() {
+            beginToForm();
+            changeTo(Engines.LARGE);
+            decide(domain(4), at(100))
+                    .forEach(a -> assertThat(((FormationAction.Join) a).model()).isEqualTo("large"));
+        }
+
+        @Test
+        void withoutModelsNothingIsOrdered() {
+            beginToForm();
+            changeTo();
+            assertThat(decide(domain(4), at(100))).isEmpty();
+        }
+    }
+
     @Nested
     class Opening {
         @Test
