--- a/core/src/main/java/org/baobabspindle/core/dispatch/ServerPauses.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/ServerPauses.java
@@ -11,9 +11,6 @@
  * have room: requests go to those, and none tries the server again before its time is over.
  */
 public final class ServerPauses {
-    /** The longest pause that is believed; a server that misstates the unit of its time is back within a minute. */
-    private static final Duration LONGEST = Duration.ofMinutes(1);
-
     private final Map<BackendServer.Lifetime, Moment> until = new HashMap<>();
 
     /** Creates an object that knows of no pause. */
@@ -28,7 +25,7 @@
      */
     public void pause(BackendServer.Lifetime server, Duration time, Moment now) {
         until.values().removeIf(m -> !now.isBefore(m));
-        Moment end = now.plus(time.compareTo(LONGEST) > 0 ? LONGEST : time);
+        Moment end = now.plus(time);
         until.merge(server, end, (a, b) -> a.isBefore(b) ? b : a);
     }
 
--- a/core/src/test/java/org/baobabspindle/core/dispatch/ServerPausesTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/ServerPausesTests.java
@@ -42,8 +42,10 @@
     }
 
     @Test
-    void aPauseOfHoursIsNotBelieved() {
+    void aLongPauseIsKeptToItsEnd() {
         pauses.pause(SERVER, Duration.ofHours(5), START);
-        assertThat(pauses.usable(SERVER, at(60_000))).isTrue();
+        assertThat(pauses.usable(SERVER, START.plus(Duration.ofHours(5).minusMillis(1))))
+                .isFalse();
+        assertThat(pauses.usable(SERVER, START.plus(Duration.ofHours(5)))).isTrue();
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperCandidacy.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperCandidacy.java
@@ -8,7 +8,7 @@
  * silent for a moment, whose places others take and give back.
  */
 final class KeeperCandidacy {
-    /** The entries that are keepers, those with the lowest ranks that answer; several zones lose theirs before none is left. */
+    /** The entries that are keepers, those with the lowest ranks that answer; the next ones follow where some are lost. */
     static final int KEEPERS = 8;
 
     /** How long an entry stays a keeper once enough others come before it; an entry that was silent is back by then. */
