--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -36,6 +36,7 @@
     private final String requestId;
     private final Request request;
     private volatile boolean sent;
+    private volatile boolean cancelled;
     private boolean foreign;
 
     /** Hears what comes of a call. */
@@ -56,8 +57,10 @@
         COMPLETE,
         /** No byte was sent. */
         NOT_SENT,
-        /** The call was sent and its answer did not come or not whole. */
-        BROKEN
+        /** The backend server broke the call off: the answer did not come or not whole. */
+        BROKEN,
+        /** This entry ended the call before the whole answer had come. */
+        CANCELLED
     }
 
     /**
@@ -134,6 +137,10 @@
         }
     }
 
+    BackendServer server() {
+        return server;
+    }
+
     void send() {
         request.onRequestBegin(r -> sent = true);
         request.send(this);
@@ -141,6 +148,7 @@
 
     /** Ends the call; the backend server sees its connection close. */
     void cancel(String reason) {
+        cancelled = true;
         request.abort(new CancelledException(reason));
     }
 
@@ -161,6 +169,7 @@
         boolean refusal = response.getHeaders().contains(names.notRun()) || response.getStatus() == 421;
         if (requestId != null && !requestId.equals(echoed) && !(echoed == null && refusal)) {
             foreign = true;
+            cancelled = true;
             response.abort(new CancelledException("the answer belongs to another request: " + echoed));
             return;
         }
@@ -179,7 +188,8 @@
         if (result.isSucceeded()) {
             listener.ended(this, End.COMPLETE, "");
         } else {
-            listener.ended(this, sent ? End.BROKEN : End.NOT_SENT, String.valueOf(result.getFailure()));
+            End broken = cancelled ? End.CANCELLED : End.BROKEN;
+            listener.ended(this, sent ? broken : End.NOT_SENT, String.valueOf(result.getFailure()));
         }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -1,6 +1,8 @@
 package org.baobabspindle.gateway;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import org.baobabspindle.core.dispatch.TargetPool;
 import org.baobabspindle.core.dispatch.WaitingLine;
@@ -8,7 +10,9 @@
 import org.baobabspindle.core.fleet.AccountPolicy;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Route;
+import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.http.Hashes;
 import org.eclipse.jetty.server.Request;
 
 /** Judges whether a request may be served: its route, its API key, and whether it can be served in time. */
@@ -16,6 +20,9 @@
     /** Bounds a request until its route is known. */
     private static final Duration TIME_WITHOUT_ROUTE = Duration.ofMinutes(1);
 
+    /** Hexadecimal digits of a fingerprint; with 16 of them two requests of a day never have the same one. */
+    private static final int FINGERPRINT_DIGITS = 16;
+
     private final GatewayContext context;
     private final Request request;
     private final Moment receivedAt;
@@ -121,6 +128,21 @@
         return context.fleet().configuration().flatMap(c -> c.account(apiKey));
     }
 
+    /** Names what is asked for, whichever attempt asks. */
+    RequestFingerprint fingerprint(byte[] body) {
+        String account = account().map(a -> a.account().value()).orElse("");
+        String head = account
+                + '\n'
+                + request.getMethod()
+                + ' '
+                + request.getHttpURI().getPathQuery()
+                + '\n';
+        byte[] start = head.getBytes(StandardCharsets.UTF_8);
+        byte[] whole = Arrays.copyOf(start, start.length + body.length);
+        System.arraycopy(body, 0, whole, start.length, body.length);
+        return RequestFingerprint.of(Hashes.sha256(whole).substring(0, FINGERPRINT_DIGITS));
+    }
+
     /** Returns the rank of the request; that of its account goes before that of its route. */
     int priority() {
         Optional<AccountPolicy> account = account();
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -179,6 +179,7 @@
     @Override
     public void content(BackendCall from, ByteBuffer bytes) {
         Moment now = context.clock().now();
+        context.crashes().heardFrom(from.server(), now);
         synchronized (this) {
             if (stale(from)) {
                 return;
@@ -220,6 +221,9 @@
             t = target.orElseThrow();
             started = callStarted;
             verdict = verdict(end);
+            if (end == BackendCall.End.BROKEN) {
+                brokenOff(now);
+            }
             next = over ? Next.NOTHING : next(end, detail, now);
         }
         if (verdict == Dispatcher.Verdict.SOUND) {
@@ -232,6 +236,12 @@
         }
     }
 
+    private void brokenOff(Moment now) {
+        context.crashes()
+                .brokeOff(
+                        admission.fingerprint(body), id(), target.orElseThrow().server(), now);
+    }
+
     private String service() {
         return admission.pool().orElseThrow().service();
     }
@@ -287,7 +297,7 @@
         boolean allowed = runs < admission.route().orElseThrow().maxAttempts()
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
-                && (!budgeted || context.dispatcher().tryRetry(service(), context.entries(), now));
+                && (!budgeted || context.tryRetry(service(), now));
         if (!allowed) {
             return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, why, now);
         }
@@ -298,7 +308,19 @@
     private void logRetry(String why) {
         String after = target.map(Target::key).orElse("");
         context.log()
-                .write("retry", why, "request", id(), "after", after, "runs", runs, "lastEvent", answer.lastEventId());
+                .write(
+                        "retry",
+                        why,
+                        "request",
+                        id(),
+                        "after",
+                        after,
+                        "runs",
+                        runs,
+                        "lastEvent",
+                        answer.lastEventId(),
+                        "entries",
+                        context.entries());
     }
 
     private Next giveUp(Refusal refusal, String why, Moment now) {
@@ -312,7 +334,7 @@
                 && !answer.committed()
                 && runs < admission.route().orElseThrow().maxAttempts()
                 && now.isBefore(admission.deadline())
-                && context.dispatcher().tryRetry(service(), context.entries(), now);
+                && context.tryRetry(service(), now);
         if (retryServerError) {
             logRetry("the backend server answered with status " + answer.status());
             return Next.SEEK;
@@ -386,8 +408,8 @@
         }
     }
 
-    /** Moves the request elsewhere if it runs at a target that serves no more. */
-    void targetLost(String key) {
+    /** Moves the request elsewhere if it runs at a target that serves no more; see {@link GatewayContext#targetLost}. */
+    void targetLost(String key, boolean headAlone) {
         BackendCall lost;
         synchronized (this) {
             if (over
@@ -396,6 +418,9 @@
                 return;
             }
             lost = call.get();
+            if (headAlone) {
+                brokenOff(context.clock().now());
+            }
         }
         lost.cancel("its group has lost a member");
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -177,6 +177,11 @@
                 .toList();
     }
 
+    /** Returns whether a server is listed as one that takes new work. */
+    synchronized boolean serving(BackendServer.Lifetime server) {
+        return servers().stream().anyMatch(s -> s.lifetime().equals(server) && s.ready());
+    }
+
     /** Returns whether both feeds have been read. */
     synchronized boolean complete() {
         return configuration.isPresent() && serversRead;
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -38,6 +38,7 @@
     private final IntSupplier entries;
     private final Duration keyLifetime;
     private final ServerNotices notices;
+    private final CrashGuard crashes;
     private final AnswerBuffer.Room answerRoom = new AnswerBuffer.Room(ANSWER_BYTES);
     private final Set<CallerExchange> active = ConcurrentHashMap.newKeySet();
 
@@ -47,6 +48,7 @@
             Dispatcher dispatcher,
             HttpClient client,
             ServerNotices notices,
+            CrashGuard crashes,
             ForwardingHeaders names,
             Stopping stopping,
             EventLog log,
@@ -59,6 +61,7 @@
         this.dispatcher = dispatcher;
         this.client = client;
         this.notices = notices;
+        this.crashes = crashes;
         this.names = names;
         this.stopping = stopping;
         this.log = log;
@@ -88,6 +91,10 @@
         return notices;
     }
 
+    CrashGuard crashes() {
+        return crashes;
+    }
+
     AnswerBuffer.Room answerRoom() {
         return answerRoom;
     }
@@ -147,8 +154,20 @@
         dispatcher.drain(now);
     }
 
-    /** Moves requests away from a target that serves no more. */
-    void targetLost(String key) {
-        active.forEach(x -> x.targetLost(key));
+    /**
+     * Moves requests away from a target that serves no more.
+     *
+     * @param key the key of the target
+     * @param headAlone whether its head has fallen silent while other members answer
+     */
+    void targetLost(String key, boolean headAlone) {
+        active.forEach(x -> x.targetLost(key, headAlone));
+    }
+
+    /** Takes a retry out of the budget of a service; returns whether it may be made. */
+    boolean tryRetry(String service, Moment now) {
+        boolean allowed = dispatcher.tryRetry(service, entries(), now);
+        metrics.retried(service, allowed);
+        return allowed;
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayMetrics.java
@@ -24,6 +24,32 @@
             .labelNames("kind", "answer")
             .register(registry);
 
+    private final Counter retries = Counter.builder()
+            .name("baobabspindle_gateway_retries_total")
+            .help("Requests that were to be sent once more, by service and whether the retry budget allowed it.")
+            .labelNames("service", "outcome")
+            .register(registry);
+    private final Counter brokenOff = Counter.builder()
+            .name("baobabspindle_gateway_broken_off_total")
+            .help("Requests that a backend server broke off.")
+            .register(registry);
+    private final Counter crashes = Counter.builder()
+            .name("baobabspindle_gateway_crashes_total")
+            .help("Requests that were running at a backend server when it ended.")
+            .register(registry);
+
+    void retried(String service, boolean allowed) {
+        retries.labelValues(service, allowed ? "allowed" : "denied").inc();
+    }
+
+    void brokenOff() {
+        brokenOff.inc();
+    }
+
+    void crashed(int requests) {
+        crashes.inc(requests);
+    }
+
     void finished(String outcome) {
         outcomes.labelValues(outcome).inc();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -89,6 +89,7 @@
     private final KeeperLease lease;
     private final GroupKeeper keeper;
     private final SilenceGuard silence;
+    private final CrashGuard crashes;
     private final GatewayGossip gossip;
     private final GatewayServer server;
     private PeerServer peerServer;
@@ -113,12 +114,15 @@
         Dispatcher dispatcher = new Dispatcher(
                 fleet, new TargetChooser(settings.zone(), random.split()), mesh::entries, settings.bounds(), threads);
         ServerNotices notices = new ServerNotices(clock, log, noticesTo(dispatcher));
+        EnginePort engines = platform.engines(client, notices::answered);
+        crashes = new CrashGuard(fleet, engines, clock, log, metrics);
         context = new GatewayContext(
                 clock,
                 fleet,
                 dispatcher,
                 client,
                 notices,
+                crashes,
                 platform.headers(),
                 stopping,
                 log,
@@ -128,7 +132,6 @@
                 settings.bounds());
         Duration timeToLive = Duration.ofMillis(Math.max(settings.leastLease().toMillis(), 1_300));
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        EnginePort engines = platform.engines(client, notices::answered);
         keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
         gossip = new GatewayGossip(
                 self, context, mesh, keeper, this::ready, this::changed, notices, recent, this::readsOften);
@@ -243,12 +246,14 @@
                 });
         feed(Feed.BACKEND_SERVERS, () -> FleetPace.servers(mesh.entries(), readsOften()), (page, whole, askedAt) -> {
             fleet.serversRead(page.records(), whole, clock.now());
+            crashes.listed();
             changed();
         });
         feed(Feed.ENTRIES, () -> ENTRIES_PACE, (page, whole, askedAt) -> mesh.read(page.records()));
         announce();
         every(TICK, () -> context.tick(clock.now()));
         every(TICK, () -> silence.tick(clock.now()));
+        every(TICK, () -> crashes.tick(clock.now()));
         every(KEEPER_TICK, this::keep);
         every(PACE_TICK, this::judgePace);
         every(LEASE_RENEWAL, this::renewLease);
--- a/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SilenceGuard.java
@@ -61,7 +61,7 @@
             Optional<String> target = s.group().map(GroupMembership::key).map(Object::toString);
             if (target.isPresent() && context.dispatcher().quiet(target.get(), now)) {
                 context.dispatcher().leaveOut(target.get(), now.plus(LEFT_OUT));
-                context.targetLost(target.get());
+                context.targetLost(target.get(), false);
             }
         }
     }
@@ -94,6 +94,8 @@
         if (!silent.isEmpty()) {
             suspects.accept(silent);
         }
-        context.targetLost(target);
+        boolean headSilent = silent.stream()
+                .anyMatch(s -> s.group().filter(GroupMembership::head).isPresent());
+        context.targetLost(target, headSilent && silent.size() < answers.size());
     }
 }
--- a/entry/src/main/java/org/baobabspindle/port/EnginePort.java
+++ b/entry/src/main/java/org/baobabspindle/port/EnginePort.java
@@ -5,8 +5,9 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.Liveness;
 
-/** Orders to model engines and their reports. */
+/** Orders to model engines, their reports, and whether a backend server of any kind runs. */
 public interface EnginePort {
     /**
      * Sends an order.
@@ -28,4 +29,14 @@
      * @return the report; empty if it did not answer; never fails
      */
     CompletableFuture<Optional<EngineReport>> probe(BackendServer server, Duration timeout);
+
+    /**
+     * Asks whether a backend server still runs in the life in which it was listed.
+     *
+     * @param server the backend server
+     * @param healthPath the path of health checks of its service; not used for engines
+     * @param timeout the longest wait for an answer
+     * @return what the question showed; never fails
+     */
+    CompletableFuture<Liveness> liveness(BackendServer server, String healthPath, Duration timeout);
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -1,8 +1,10 @@
 package org.baobabspindle.gateway;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.fleet.Liveness;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.id.Region;
@@ -271,6 +274,18 @@
                 Optional.of(new EngineReport(0, 0, false, server.group().map(m -> m.key()))));
     }
 
+    /** Connects to the server and does not send anything. */
+    @Override
+    public CompletableFuture<Liveness> liveness(BackendServer server, String healthPath, Duration timeout) {
+        try (Socket s = new Socket(server.host(), server.port())) {
+            return CompletableFuture.completedFuture(s.isConnected() ? Liveness.RUNNING : Liveness.SILENT);
+        } catch (ConnectException e) {
+            return CompletableFuture.completedFuture(Liveness.ENDED);
+        } catch (IOException e) {
+            return CompletableFuture.completedFuture(Liveness.SILENT);
+        }
+    }
+
     @Override
     public boolean asksReadiness(String method, String path) {
         return path.equals("/ready");
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -99,7 +99,7 @@
         return new FleetConfiguration(
                 1,
                 routes,
-                List.of(new FleetService("desk", 100, Optional.empty())),
+                List.of(new FleetService("desk", 100, "/health", Optional.empty())),
                 Map.of("a-key", new AccountPolicy(ClientAccountId.of("acme"), OptionalInt.empty())),
                 true,
                 new CallerLimits(8_000, 1_000_000, Duration.ofSeconds(5), Duration.ofSeconds(30)));
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -54,7 +54,7 @@
         configuration = new FleetConfiguration(
                 1,
                 List.of(),
-                List.of(new FleetService("pool", 100, Optional.of(profile))),
+                List.of(new FleetService("pool", 100, "/health", Optional.of(profile))),
                 Map.of(),
                 true,
                 new CallerLimits(8_000, 1_000_000, Duration.ofSeconds(5), Duration.ofSeconds(30)));
