--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
@@ -0,0 +1,206 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A request that ends each server that runs it comes again, at any entry and under another id. */
+class CrashingRequestTests extends GatewayTestSupport {
+    private static final int SERVERS = 9;
+
+    /** Servers that a request may end before it is turned away. */
+    private static final int MOST_CRASHES = 3;
+
+    /** The pause between two attempts of a caller. */
+    private static final Duration PAUSE = Duration.ofMillis(700);
+
+    private static final String CRASHING = "crash";
+
+    private final AtomicInteger attempts = new AtomicInteger();
+    private GatewayNode otherNode;
+    private FakePlatform otherPlatform;
+
+    @AfterEach
+    void closeOther() throws Exception {
+        if (otherNode != null) {
+            otherNode.shutDown();
+        }
+    }
+
+    private void startServers() throws Exception {
+        RawBackend.Script script = (request, out, socket) -> {
+            if (request.endsWith(CRASHING)
+                    && RawBackend.header(request, "Account").equals("acme")) {
+                backendOf(socket.getLocalPort()).crash();
+            } else {
+                RawBackend.write(out, plain(request, "done"));
+            }
+        };
+        start(Collections.nCopies(SERVERS, script).toArray(RawBackend.Script[]::new));
+    }
+
+    private RawBackend backendOf(int port) {
+        return backends.stream().filter(b -> b.port() == port).findFirst().orElseThrow();
+    }
+
+    private void startOther() throws Exception {
+        otherPlatform = new FakePlatform("other", platform);
+        otherNode = GatewayNode.open(otherPlatform);
+        await(() -> status(otherPlatform.readiness()) == 200);
+        await(() -> addresses(platform).size() == 2 && addresses(otherPlatform).size() == 2);
+    }
+
+    private List<String> addresses(FakePlatform entry) {
+        try {
+            return List.of(http.send(
+                            HttpRequest.newBuilder(URI.create(entry.directoryUrl()))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .body()
+                    .split(","));
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private HttpRequest call(FakePlatform entry, String path, String key, String body) {
+        return HttpRequest.newBuilder(URI.create(entry.callers() + path))
+                .header("Id", "attempt" + attempts.incrementAndGet())
+                .header("Key", key)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    /** Sends a request and returns the status; a connection that breaks counts as 502. */
+    private int send(FakePlatform entry, String path, String key, String body) throws InterruptedException {
+        try {
+            return http.send(call(entry, path, key, body), HttpResponse.BodyHandlers.ofString())
+                    .statusCode();
+        } catch (IOException e) {
+            return 502;
+        }
+    }
+
+    private int crashed() {
+        return (int) backends.stream().filter(RawBackend::crashed).count();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/x", "/safe/x", "/stream/x"})
+    void aRequestUnderWhichThreeServersEndedIsSentToNoFurtherServer(String path) throws Exception {
+        startServers();
+        startOther();
+        for (int i = 0; i < 6; i++) {
+            send(i % 2 == 0 ? platform : otherPlatform, path, "a-key", CRASHING);
+            Thread.sleep(PAUSE.toMillis());
+        }
+        assertThat(crashed()).isEqualTo(MOST_CRASHES);
+    }
+
+    @Test
+    void itIsAnsweredAtOnceAsNotRunAndToldWhenToComeBack() throws Exception {
+        startServers();
+        for (int i = 0; i < 5; i++) {
+            send(platform, "/unsafe/x", "a-key", CRASHING);
+            Thread.sleep(PAUSE.toMillis());
+        }
+        HttpResponse<String> answer =
+                http.send(call(platform, "/unsafe/x", "a-key", CRASHING), HttpResponse.BodyHandlers.ofString());
+        assertThat(answer.statusCode()).isEqualTo(503);
+        double seconds =
+                Double.parseDouble(answer.headers().firstValue("Retry-After").orElseThrow());
+        assertThat(seconds).isGreaterThan(60);
+    }
+
+    @Test
+    void manyCopiesAtOnceEndFewServersAndNoneLater() throws Exception {
+        startServers();
+        List<CompletableFuture<?>> copies = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            copies.add(
+                    http.sendAsync(call(platform, "/unsafe/x", "a-key", CRASHING), HttpResponse.BodyHandlers.ofString())
+                            .exceptionally(e -> null));
+        }
+        copies.forEach(CompletableFuture::join);
+        Thread.sleep(PAUSE.toMillis());
+        int before = crashed();
+        for (int i = 0; i < 3; i++) {
+            send(platform, "/unsafe/x", "a-key", CRASHING);
+            Thread.sleep(PAUSE.toMillis());
+        }
+        assertThat(crashed()).isEqualTo(Math.max(before, MOST_CRASHES));
+        assertThat(crashed()).isLessThan(SERVERS);
+    }
+
+    @Test
+    void anEntryThatStartsLaterTurnsItAway() throws Exception {
+        startServers();
+        for (int i = 0; i < 4; i++) {
+            send(platform, "/unsafe/x", "a-key", CRASHING);
+            Thread.sleep(PAUSE.toMillis());
+        }
+        startOther();
+        Thread.sleep(PAUSE.toMillis());
+        for (int i = 0; i < 3; i++) {
+            send(otherPlatform, "/unsafe/x", "a-key", CRASHING);
+            Thread.sleep(PAUSE.toMillis());
+        }
+        assertThat(crashed()).isEqualTo(MOST_CRASHES);
+    }
+
+    @Nested
+    class SoundRequests {
+        @Test
+        void othersOfTheSamePathAndOtherAccountsAreServed() throws Exception {
+            startServers();
+            for (int i = 0; i < 5; i++) {
+                send(platform, "/unsafe/x", "a-key", CRASHING);
+                Thread.sleep(PAUSE.toMillis());
+            }
+            await(() -> served("a-key", "order"));
+            assertThat(served("b-key", CRASHING)).isTrue();
+        }
+
+        private boolean served(String key, String body) {
+            try {
+                return send(platform, "/safe/x", key, body) == 200;
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        @Test
+        void aRequestWhoseAnswersGetLostIsSentAgain() throws Exception {
+            AtomicInteger runs = new AtomicInteger();
+            RawBackend.Script script = (request, out, socket) -> {
+                if (runs.incrementAndGet() <= 5) {
+                    RawBackend.reset(socket);
+                } else {
+                    RawBackend.write(out, plain(request, "done"));
+                }
+            };
+            start(Collections.nCopies(SERVERS, script).toArray(RawBackend.Script[]::new));
+            int status = 0;
+            for (int i = 0; i < 6; i++) {
+                status = send(platform, "/unsafe/x", "a-key", "order");
+                Thread.sleep(PAUSE.toMillis());
+            }
+            assertThat(runs.get()).isEqualTo(6);
+            assertThat(status).isEqualTo(200);
+        }
+    }
+}
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
@@ -70,12 +71,27 @@
             CompletableFuture.completedFuture(OrderAnswer.REFUSED);
     private volatile Set<Integer> partitions = Set.of();
     private volatile Optional<CompletableFuture<LeaseGrant>> renewals = Optional.empty();
+    private final InstanceId instance;
+    private final List<FeedRecord> entries;
     private volatile boolean down;
 
     /** An order that an engine was sent. */
     record SentOrder(InstanceId engine, Class<? extends EngineOrder> kind) {}
 
     FakePlatform(FleetConfiguration configuration, List<BackendServer> servers) throws IOException {
+        this("entry", configuration, servers, new CopyOnWriteArrayList<>());
+    }
+
+    /** Creates the platform of another entry, which finds the first one, and is found by it, in the store. */
+    FakePlatform(String instance, FakePlatform first) throws IOException {
+        this(instance, first.configuration, first.servers, first.entries);
+    }
+
+    private FakePlatform(
+            String instance, FleetConfiguration configuration, List<BackendServer> servers, List<FeedRecord> entries)
+            throws IOException {
+        this.instance = InstanceId.of(instance);
+        this.entries = entries;
         this.configuration = configuration;
         this.servers = List.copyOf(servers);
         List<ServerSocket> sockets = new ArrayList<>();
@@ -149,7 +165,7 @@
     @Override
     public GatewaySettings settings() {
         return new GatewaySettings(
-                InstanceId.of("entry"),
+                instance,
                 "127.0.0.1",
                 AvailabilityZone.of("z1"),
                 Map.of(AvailabilityZone.of("z1"), Region.of("r1")),
@@ -214,7 +230,10 @@
         } else if (feed == Feed.BACKEND_SERVERS) {
             servers.forEach(s -> records.add(new FeedRecord(s.id().value(), Optional.of(new byte[1]))));
         }
-        return answer(new FeedPage(records, 0, false));
+        if (feed == Feed.ENTRIES) {
+            records.addAll(entries);
+        }
+        return answer(new FeedPage(records, records.size(), false));
     }
 
     @Override
@@ -227,12 +246,16 @@
         if (next != null) {
             records.add(next);
         }
+        if (feed == Feed.ENTRIES) {
+            records.addAll(entries.subList((int) from, entries.size()));
+        }
         return answer(new FeedPage(records, from + records.size(), false))
                 .completeOnTimeout(FeedPage.gone(), 1, TimeUnit.SECONDS);
     }
 
     @Override
     public CompletableFuture<Void> announce(String key, byte[] value) {
+        entries.add(new FeedRecord(key, Optional.of(value)));
         return answer(null);
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -100,7 +100,9 @@
                 1,
                 routes,
                 List.of(new FleetService("desk", 100, "/health", Optional.empty())),
-                Map.of("a-key", new AccountPolicy(ClientAccountId.of("acme"), OptionalInt.empty())),
+                Map.of(
+                        "a-key", new AccountPolicy(ClientAccountId.of("acme"), OptionalInt.empty()),
+                        "b-key", new AccountPolicy(ClientAccountId.of("bolt"), OptionalInt.empty())),
                 true,
                 new CallerLimits(8_000, 1_000_000, Duration.ofSeconds(5), Duration.ofSeconds(30)));
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/RawBackend.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RawBackend.java
@@ -117,6 +117,19 @@
         s.close();
     }
 
+    /** Ends as a process does that crashes: nothing listens any more and every connection is reset. */
+    void crash() throws IOException {
+        listener.close();
+        for (Socket s : open) {
+            reset(s);
+        }
+    }
+
+    /** Returns whether {@link #crash()} was called. */
+    boolean crashed() {
+        return listener.isClosed();
+    }
+
     /** Waits until the other side closes the connection. */
     static void awaitClose(Socket s) throws IOException {
         if (s.getInputStream().read() < 0) {
