A request that ends the servers that run it is turned away, at every entry and in every attempt

What callers saw: a request that crashes each server that runs it was sent to another one by each attempt of its caller and each entry; every server took the requests of others down with it. Cause: each attempt was judged by itself (targets tried, attempts, retry budget); nothing outlived it, and nothing was shared between entries. Evidence: CrashingRequestTests failed (5 to 9 of 9 servers ended, 3 allowed); crash lines with one fingerprint and different servers. Ruled out: the retry budget (no retry is asked for on the unsafe route) and pauses (none was wanted). Why this works: CrashEvidence proves that a server ended (asked, or a later life is listed; another server must witness it, since connections of an entry that is cut off may be refused too). CrashLedger counts crashes by account, method, path and body over attempts and entries: two servers, 30 s; three, ten minutes; a whole answer clears a request. Crashes are told at once, what is turned away also to entries that start later or lost the message (digest in the pulse). While the fate of two servers is open the request waits outside. A request that may have run is never called 'not run' (503), whatever refuses it afterwards.

--- a/core/src/main/java/org/baobabspindle/core/crash/CrashEvidence.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashEvidence.java
@@ -35,6 +35,9 @@
 
     private final Map<BackendServer.Lifetime, Inquiry> inquiries = new HashMap<>();
 
+    /** Servers that have ended and may still be listed. */
+    private final Map<BackendServer.Lifetime, Moment> ended = new HashMap<>();
+
     /** Creates an object that inquires about no server. */
     public CrashEvidence() {}
 
@@ -43,16 +46,17 @@
         private final Map<RequestFingerprint, Moment> brokenAt = new LinkedHashMap<>();
         private Moment askAt;
         private int questions;
+        private boolean witnessed;
 
         Inquiry(BackendServer server, Moment askAt) {
             this.server = server;
             this.askAt = askAt;
         }
 
-        private List<Crash> crashes() {
-            return brokenAt.keySet().stream()
-                    .map(f -> new Crash(f, server.lifetime()))
-                    .toList();
+        private Map<Crash, Moment> crashes() {
+            Map<Crash, Moment> result = new LinkedHashMap<>();
+            brokenAt.forEach((request, at) -> result.put(Crash.of(request, server), at));
+            return result;
         }
     }
 
@@ -64,10 +68,9 @@
      * @param now the present time
      */
     public void broke(RequestFingerprint request, BackendServer server, Moment now) {
-        inquiries
-                .computeIfAbsent(server.lifetime(), l -> new Inquiry(server, now.plus(BEFORE_ASKING)))
-                .brokenAt
-                .put(request, now);
+        Inquiry q = inquiries.computeIfAbsent(server.lifetime(), l -> new Inquiry(server, now.plus(BEFORE_ASKING)));
+        q.brokenAt.put(request, now);
+        q.witnessed = false;
     }
 
     /**
@@ -77,6 +80,7 @@
      * @return the backend servers; each is returned again after a pause until an answer settles it
      */
     public List<BackendServer> due(Moment now) {
+        ended.values().removeIf(at -> now.since(at).compareTo(KEPT_OPEN) > 0);
         List<BackendServer> due = new ArrayList<>();
         for (Iterator<Inquiry> i = inquiries.values().iterator(); i.hasNext(); ) {
             Inquiry q = i.next();
@@ -93,24 +97,57 @@
     }
 
     /**
-     * Takes over what a question showed.
+     * Tells whether another backend server has been heard from since a server broke requests off. Without such a witness this entry
+     * may itself be cut off.
+     *
+     * @param server the backend server
+     * @return whether there is a witness
+     */
+    public boolean witnessed(BackendServer.Lifetime server) {
+        Inquiry q = inquiries.get(server);
+        return q != null && q.witnessed;
+    }
+
+    /**
+     * Returns the backend servers that can be asked to witness the end of another: those of its service that are not in doubt
+     * themselves, in its availability zone if there are any.
+     *
+     * @param server the backend server
+     * @param listed the backend servers that are listed
+     * @return the candidates
+     */
+    public List<BackendServer> witnesses(BackendServer server, Collection<BackendServer> listed) {
+        List<BackendServer> sound = listed.stream()
+                .filter(s -> s.ready() && s.service().equals(server.service()))
+                .filter(s -> !inquiries.containsKey(s.lifetime()) && !ended.containsKey(s.lifetime()))
+                .toList();
+        List<BackendServer> near =
+                sound.stream().filter(s -> s.zone().equals(server.zone())).toList();
+        return near.isEmpty() ? sound : near;
+    }
+
+    /**
+     * Takes over what a question showed. An end without a witness proves nothing.
      *
      * @param server the backend server that was asked
      * @param liveness what the question showed
      * @param askedAt when it was asked
-     * @return the crashes that this proves
+     * @return the crashes that this proves, and when each happened
      */
-    public List<Crash> answered(BackendServer.Lifetime server, Liveness liveness, Moment askedAt) {
+    public Map<Crash, Moment> answered(BackendServer.Lifetime server, Liveness liveness, Moment askedAt) {
         Inquiry q = inquiries.get(server);
-        if (q == null || liveness == Liveness.SILENT) {
-            return List.of();
+        if (q == null) {
+            return Map.of();
         }
-        if (liveness == Liveness.ENDED) {
-            inquiries.remove(server);
-            return q.crashes();
+        if (liveness == Liveness.RUNNING) {
+            runs(q, askedAt);
         }
-        runs(q, askedAt);
-        return List.of();
+        if (liveness != Liveness.ENDED || !q.witnessed) {
+            return Map.of();
+        }
+        inquiries.remove(server);
+        ended.put(server, askedAt);
+        return q.crashes();
     }
 
     /**
@@ -120,12 +157,27 @@
      * @param now the present time
      */
     public void heardFrom(BackendServer.Lifetime server, Moment now) {
+        Moment sentAfter = now.minus(STILL_ON_THE_WAY);
+        for (Inquiry q : inquiries.values()) {
+            boolean since = q.brokenAt.values().stream().allMatch(broken -> broken.isBefore(sentAfter));
+            q.witnessed |= since && !q.server.lifetime().equals(server);
+        }
         Inquiry q = inquiries.get(server);
         if (q != null) {
-            runs(q, now.minus(STILL_ON_THE_WAY));
+            runs(q, sentAfter);
         }
     }
 
+    /**
+     * Takes over that a request has just been answered whole, so that no server ended because of it.
+     *
+     * @param request the request
+     */
+    public void served(RequestFingerprint request) {
+        inquiries.values().forEach(q -> q.brokenAt.remove(request));
+        inquiries.values().removeIf(q -> q.brokenAt.isEmpty());
+    }
+
     /** Drops what broke before a moment at which the server ran; what broke later is asked about anew. */
     private void runs(Inquiry q, Moment at) {
         q.brokenAt.values().removeIf(broken -> broken.isBefore(at));
@@ -141,14 +193,14 @@
      * it is missing does not, because it may be cut off from the store.
      *
      * @param servers the backend servers
-     * @return the crashes that this proves
+     * @return the crashes that this proves, and when each happened
      */
-    public List<Crash> listed(Collection<BackendServer> servers) {
-        List<Crash> proven = new ArrayList<>();
+    public Map<Crash, Moment> listed(Collection<BackendServer> servers) {
+        Map<Crash, Moment> proven = new LinkedHashMap<>();
         for (Iterator<Inquiry> i = inquiries.values().iterator(); i.hasNext(); ) {
             Inquiry q = i.next();
             if (servers.stream().anyMatch(s -> succeeds(s, q.server))) {
-                proven.addAll(q.crashes());
+                proven.putAll(q.crashes());
                 i.remove();
             }
         }
@@ -162,14 +214,17 @@
     }
 
     /**
-     * Returns how many backend servers that broke a request off have neither been proven to run nor to have ended.
+     * Returns in how many failure domains backend servers broke a request off that have neither been proven to run nor to have
+     * ended.
      *
      * @param request the request
-     * @return the number of backend servers
+     * @return the number of failure domains
      */
     public int unsettled(RequestFingerprint request) {
         return (int) inquiries.values().stream()
                 .filter(q -> q.brokenAt.containsKey(request))
+                .map(q -> q.server.failureDomain())
+                .distinct()
                 .count();
     }
 
--- a/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
@@ -71,6 +71,15 @@
                 id, service, host, port, zone, ServerState.DRAINING, slots, bornMillis, domain, model, staged, group);
     }
 
+    /**
+     * Returns what may take this backend server and others down at once.
+     *
+     * @return its fabric domain; a server without one fails alone
+     */
+    public String failureDomain() {
+        return domain.map(FabricDomain::value).orElse(id.value());
+    }
+
     /**
      * Returns the lifetime, which ends with a restart also where the id stays.
      *
@@ -86,5 +95,29 @@
      * @param id its id
      * @param bornMillis its start, in Unix milliseconds
      */
-    public record Lifetime(InstanceId id, long bornMillis) {}
+    public record Lifetime(InstanceId id, long bornMillis) {
+        private static final char SEPARATOR = '/';
+
+        /**
+         * Reads the text form {@code id/millis}.
+         *
+         * @param text the text form
+         * @return the life
+         * @throws IllegalArgumentException if the text has another form
+         */
+        public static Lifetime parse(String text) {
+            int at = text.lastIndexOf(SEPARATOR);
+            Checks.require(at > 0, "a life of a server must read id/millis but was " + text);
+            return new Lifetime(InstanceId.of(text.substring(0, at)), Long.parseLong(text.substring(at + 1)));
+        }
+
+        /**
+         * Returns the text form {@code id/millis}.
+         *
+         * @return the text form
+         */
+        public String format() {
+            return id.value() + SEPARATOR + bornMillis;
+        }
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAnswer.java
@@ -1,6 +1,7 @@
 package org.baobabspindle.gateway;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Response;
@@ -91,11 +92,11 @@
         }
     }
 
-    /** Answers without a backend server's answer. */
-    void refuse(Refusal refusal) {
+    /** Answers without a backend server's answer; the time is when the caller may come back, if that is known. */
+    void refuse(Refusal refusal, Optional<Duration> comeBack) {
         response.setStatus(refusal.status());
         if (refusal.mayReturn()) {
-            response.getHeaders().put("Retry-After", context.retryAfter(refusal));
+            response.getHeaders().put("Retry-After", context.retryAfter(refusal, comeBack));
         }
         closeIfStopping();
         response.getHeaders().put("Content-Length", 0L);
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -49,6 +49,7 @@
     private long waitedMillis;
     private Moment waitingSince;
     private Moment sentAt;
+    private Optional<Duration> comeBack = Optional.empty();
 
     CallerExchange(GatewayContext context, Request request, Response response, Callback callback, Moment now) {
         this.context = context;
@@ -64,7 +65,7 @@
     void begin(byte[] content, Moment now) {
         synchronized (this) {
             body = content;
-            Optional<Refusal> refusal = admission.judge(content.length, now);
+            Optional<Refusal> refusal = admission.judge(content.length, now).or(() -> turnedAway(now));
             admission.pool().ifPresent(p -> context.dispatcher().requested(p, now));
             if (refusal.isPresent()) {
                 refuse(refusal.get(), "", now);
@@ -133,7 +134,19 @@
         if (!now.isBefore(admission.deadline())) {
             return Optional.of(mayHaveRun ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY);
         }
-        return admission.judgeKey(now);
+        return admission
+                .judgeKey(now)
+                .or(() -> told(context.crashes().trySend(() -> admission.fingerprint(body), now)));
+    }
+
+    /** Refuses the request if servers have ended under it, in whichever attempt and at whichever entry. */
+    private Optional<Refusal> turnedAway(Moment now) {
+        return told(context.crashes().turnedAwayFor(() -> admission.fingerprint(body), now));
+    }
+
+    private Optional<Refusal> told(Optional<Duration> turnedAwayFor) {
+        comeBack = turnedAwayFor;
+        return comeBack.map(d -> Refusal.CRASHES_SERVERS);
     }
 
     private BackendCall.Stamped stamped(Moment now) {
@@ -297,6 +310,7 @@
         boolean allowed = runs < admission.route().orElseThrow().maxAttempts()
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
+                && turnedAway(now).isEmpty()
                 && (!budgeted || context.tryRetry(service(), now));
         if (!allowed) {
             return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, why, now);
@@ -329,6 +343,7 @@
     }
 
     private Next deliver(Moment now) {
+        context.crashes().served(() -> admission.fingerprint(body), now);
         boolean retryServerError = answer.status() >= 500
                 && admission.route().orElseThrow().repeatable()
                 && !answer.committed()
@@ -347,19 +362,20 @@
     }
 
     /** Answers the request without a backend server's answer; a stream that has begun is cut visibly. */
-    private void refuse(Refusal refusal, String why, Moment now) {
+    private void refuse(Refusal cause, String why, Moment now) {
         if (over) {
             return;
         }
         over = true;
+        Refusal refusal = mayHaveRun && cause.mayReturn() ? Refusal.BROKEN : cause;
         withdraw();
         if (answer.committed()) {
             answer.abort(why);
-            finished("cut", refusal + ": " + why, answer.status(), now);
+            finished("cut", cause + ": " + why, answer.status(), now);
             return;
         }
-        answer.refuse(refusal);
-        finished("refused", refusal + (why.isEmpty() ? "" : ": " + why), refusal.status(), now);
+        answer.refuse(refusal, comeBack);
+        finished("refused", cause + (why.isEmpty() ? "" : ": " + why), refusal.status(), now);
     }
 
     private void withdraw() {
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -1,19 +1,29 @@
 package org.baobabspindle.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.baobabspindle.core.crash.Crash;
 import org.baobabspindle.core.crash.CrashEvidence;
+import org.baobabspindle.core.crash.CrashLedger;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetService;
+import org.baobabspindle.core.fleet.Liveness;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerMessage;
 import org.baobabspindle.port.EnginePort;
 
 /**
- * Finds out which requests were running at backend servers that ended. Its lock is the last one to be taken but for that of the
- * fleet table.
+ * Turns requests away that end the backend servers that run them: finds out which requests were running at servers that ended, and
+ * shares that with the other entries. Its lock is the last one to be taken but for that of the fleet table.
  */
 final class CrashGuard {
     /** The wait for the answer to a question; a silent server is asked again. */
@@ -24,15 +34,124 @@
     private final GatewayClock clock;
     private final EventLog log;
     private final GatewayMetrics metrics;
+    private final RandomGenerator random;
     private final CrashEvidence evidence = new CrashEvidence();
+    private final CrashLedger ledger = new CrashLedger();
+    private volatile Consumer<List<PeerMessage.CrashNotice>> others = notices -> {};
     private volatile boolean inquiring;
+    private volatile boolean remembering;
 
-    CrashGuard(FleetTable fleet, EnginePort engines, GatewayClock clock, EventLog log, GatewayMetrics metrics) {
+    CrashGuard(
+            FleetTable fleet,
+            EnginePort engines,
+            GatewayClock clock,
+            EventLog log,
+            GatewayMetrics metrics,
+            RandomGenerator random) {
         this.fleet = fleet;
         this.engines = engines;
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
+        this.random = random;
+    }
+
+    /** Names who tells the other entries what this one notices. */
+    void tellOthers(Consumer<List<PeerMessage.CrashNotice>> teller) {
+        others = teller;
+    }
+
+    /** Returns when a request may come back that is not to be sent to a server; empty if it may be sent. */
+    Optional<Duration> turnedAwayFor(Supplier<RequestFingerprint> request, Moment now) {
+        if (!inquiring && !remembering) {
+            return Optional.empty();
+        }
+        RequestFingerprint f = request.get();
+        synchronized (this) {
+            return ledger.turnedAwayFor(f, evidence.unsettled(f), now);
+        }
+    }
+
+    /** Asks the same for a request that is about to be sent, and notes that it is. */
+    Optional<Duration> trySend(Supplier<RequestFingerprint> request, Moment now) {
+        if (!inquiring && !remembering) {
+            return Optional.empty();
+        }
+        RequestFingerprint f = request.get();
+        synchronized (this) {
+            Optional<Duration> wait = ledger.turnedAwayFor(f, evidence.unsettled(f), now);
+            if (wait.isEmpty()) {
+                ledger.sent(f, now);
+            }
+            return wait;
+        }
+    }
+
+    /** Notes that a request was answered whole. */
+    void served(Supplier<RequestFingerprint> request, Moment now) {
+        if (!inquiring && !remembering) {
+            return;
+        }
+        RequestFingerprint f = request.get();
+        boolean news;
+        synchronized (this) {
+            evidence.served(f);
+            inquiring = !evidence.isEmpty();
+            news = ledger.served(f, now, now);
+        }
+        if (news) {
+            log.write("crash", "the request was answered whole and has crashed nothing", "fingerprint", f);
+            others.accept(List.of(new PeerMessage.CrashNotice(f, "", "", 0)));
+        }
+    }
+
+    /** Takes over what another entry has noticed. */
+    void told(List<PeerMessage.CrashNotice> notices) {
+        Moment now = clock.now();
+        for (PeerMessage.CrashNotice n : notices) {
+            Moment at = now.minus(Duration.ofMillis(Math.max(0, n.ageMillis())));
+            if (n.server().isEmpty()) {
+                synchronized (this) {
+                    ledger.served(n.request(), at, now);
+                }
+            } else {
+                BackendServer.Lifetime server = BackendServer.Lifetime.parse(n.server());
+                note(new Crash(n.request(), server, n.failureDomain()), at, now, "another entry");
+            }
+        }
+    }
+
+    /** Returns the crashes of the requests that this entry turns away. */
+    synchronized List<PeerMessage.CrashNotice> turnedAway(Moment now) {
+        List<PeerMessage.CrashNotice> result = new ArrayList<>();
+        ledger.turnedAway(now).forEach((c, at) -> result.add(notice(c, at, now)));
+        return result;
+    }
+
+    private static PeerMessage.CrashNotice notice(Crash c, Moment at, Moment now) {
+        return new PeerMessage.CrashNotice(
+                c.request(), c.server().format(), c.failureDomain(), now.steadyMillisSince(at));
+    }
+
+    /** Returns a number that is the same at entries that turn the same requests away. */
+    long digest(Moment now) {
+        if (!remembering) {
+            return 0;
+        }
+        synchronized (this) {
+            return ledger.digest(now);
+        }
+    }
+
+    /** Forgets what is too old to count. */
+    void expire(Moment now) {
+        if (!remembering) {
+            return;
+        }
+        synchronized (this) {
+            ledger.expire(now);
+            remembering = !ledger.isEmpty();
+        }
     }
 
     /** Notes that a server broke a request off. One that is about to leave, or is not listed, ends as planned. */
@@ -75,7 +194,7 @@
         if (!inquiring) {
             return;
         }
-        List<Crash> proven;
+        Map<Crash, Moment> proven;
         synchronized (this) {
             proven = evidence.listed(fleet.servers());
             inquiring = !evidence.isEmpty();
@@ -98,17 +217,52 @@
 
     private void ask(BackendServer server) {
         Moment askedAt = clock.now();
-        engines.liveness(server, healthPath(server), QUESTION_TIMEOUT).thenAccept(liveness -> {
-            List<Crash> proven;
-            synchronized (this) {
-                proven = evidence.answered(server.lifetime(), liveness, askedAt);
-                inquiring = !evidence.isEmpty();
+        liveness(server).thenAccept(answer -> {
+            log.write("liveness", "asked because it broke requests off", "server", server.id(), "answer", answer);
+            if (answer == Liveness.ENDED && !witnessed(server)) {
+                askWitness(server, askedAt);
+            } else {
+                settle(server, answer, askedAt);
+            }
+        });
+    }
+
+    private CompletableFuture<Liveness> liveness(BackendServer server) {
+        return engines.liveness(server, healthPath(server), QUESTION_TIMEOUT);
+    }
+
+    private synchronized boolean witnessed(BackendServer server) {
+        return evidence.witnessed(server.lifetime());
+    }
+
+    /** Asks another server before an end is believed, because this entry may be cut off. */
+    private void askWitness(BackendServer server, Moment askedAt) {
+        List<BackendServer> candidates;
+        synchronized (this) {
+            candidates = evidence.witnesses(server, fleet.servers());
+        }
+        if (candidates.isEmpty()) {
+            return;
+        }
+        BackendServer witness = candidates.get(random.nextInt(candidates.size()));
+        liveness(witness).thenAccept(answer -> {
+            log.write("liveness", "asked as a witness", "server", witness.id(), "answer", answer);
+            if (answer == Liveness.RUNNING) {
+                heardFrom(witness, clock.now());
+                settle(server, Liveness.ENDED, askedAt);
             }
-            log.write("liveness", "asked because it broke requests off", "server", server.id(), "answer", liveness);
-            crashed(proven, "it was asked");
         });
     }
 
+    private void settle(BackendServer server, Liveness answer, Moment askedAt) {
+        Map<Crash, Moment> proven;
+        synchronized (this) {
+            proven = evidence.answered(server.lifetime(), answer, askedAt);
+            inquiring = !evidence.isEmpty();
+        }
+        crashed(proven, "it was asked");
+    }
+
     private String healthPath(BackendServer server) {
         return fleet.configuration()
                 .flatMap(c -> c.service(server.service()))
@@ -116,8 +270,13 @@
                 .orElse("/");
     }
 
-    private void crashed(List<Crash> proven, String why) {
-        for (Crash c : proven) {
+    private void crashed(Map<Crash, Moment> proven, String why) {
+        if (proven.isEmpty()) {
+            return;
+        }
+        Moment now = clock.now();
+        List<PeerMessage.CrashNotice> notices = new ArrayList<>();
+        proven.forEach((c, at) -> {
             log.write(
                     "crash",
                     "the server ended while it ran the request: " + why,
@@ -127,7 +286,29 @@
                     c.server().id(),
                     "born",
                     c.server().bornMillis());
-        }
+            note(c, at, now, "this entry");
+            notices.add(notice(c, at, now));
+        });
         metrics.crashed(proven.size());
+        others.accept(notices);
+    }
+
+    private void note(Crash c, Moment at, Moment now, String source) {
+        boolean begins;
+        synchronized (this) {
+            begins = ledger.crashed(c, at, now);
+            remembering = true;
+        }
+        if (begins) {
+            log.write(
+                    "turned-away",
+                    "servers have ended each time that they ran the request",
+                    "fingerprint",
+                    c.request(),
+                    "crashes",
+                    CrashLedger.MOST_CRASHES,
+                    "source",
+                    source);
+        }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
@@ -138,8 +139,14 @@
         return active;
     }
 
-    /** Returns when a caller should come back, in seconds with fractions, spread so that callers do not come at once. */
-    String retryAfter(Refusal refusal) {
+    /**
+     * Returns when a caller should come back, in seconds with fractions. Where no time is known callers are spread so that they do
+     * not come at once.
+     */
+    String retryAfter(Refusal refusal, Optional<Duration> comeBack) {
+        if (comeBack.isPresent()) {
+            return String.format(Locale.ROOT, "%.2f", comeBack.get().toMillis() / 1e3);
+        }
         double seconds =
                 switch (refusal) {
                     case STOPPING, NOT_RUN -> 0.05;
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -3,9 +3,13 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerMessage;
@@ -21,6 +25,7 @@
     private final ServerNotices notices;
     private final RecentPages recent;
     private final BooleanSupplier follows;
+    private final Map<Incarnation, Long> learned = new ConcurrentHashMap<>();
     private volatile Hearer hearer = (silent, now) -> {};
 
     /** Hears which engines do not answer another entry. */
@@ -63,7 +68,8 @@
                 context.dispatcher().demand(now),
                 keeper.staging(now),
                 notices.recent(now),
-                follows.getAsBoolean());
+                follows.getAsBoolean(),
+                context.crashes().digest(now));
     }
 
     /** Exchanges the state of this entry for that of every other one. */
@@ -72,9 +78,28 @@
             context.dispatcher().peerCounts(from.entry().instance(), pulse.loads(), now);
             learnConfiguration(from, pulse, askedAt);
             notices.told(pulse.leaving());
+            learnCrashes(from, pulse);
         });
     }
 
+    /** Asks an entry for the requests that it turns away if they are others than this entry's and were not asked for yet. */
+    private void learnCrashes(EntryAnnouncement from, PeerMessage.Pulse pulse) {
+        long theirs = pulse.turnedAway();
+        long own = context.crashes().digest(context.clock().now());
+        Incarnation entry = from.entry();
+        if (theirs != 0 && theirs != own && !Objects.equals(learned.get(entry), theirs)) {
+            mesh.askCrashes(from, crashes -> {
+                context.crashes().told(crashes);
+                learned.put(entry, theirs);
+            });
+        }
+    }
+
+    /** Tells every entry that answers what this one has noticed of requests that may crash servers. */
+    void tellCrashes(List<PeerMessage.CrashNotice> crashes) {
+        mesh.tell(new PeerMessage.CrashesTold(crashes), context.clock().now());
+    }
+
     /** The age in a pulse counts until it was sent, which was not before this entry asked. */
     private void learnConfiguration(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment askedAt) {
         long own = context.fleet().version();
@@ -99,6 +124,12 @@
         } else if (ask instanceof PeerMessage.ConfigurationAsk) {
             return new PeerMessage.ConfigurationAnswer(
                     context.fleet().configurationKey(), context.fleet().configurationText());
+        } else if (ask instanceof PeerMessage.CrashesTold c) {
+            context.crashes().told(c.notices());
+            return new PeerMessage.Noted();
+        } else if (ask instanceof PeerMessage.CrashesAsk) {
+            return new PeerMessage.CrashesAnswer(
+                    context.crashes().turnedAway(context.clock().now()));
         } else if (ask instanceof PeerMessage.ServersAsk s) {
             return recent.after(s.from(), context.clock().now())
                     .<PeerMessage>map(StoreRecords::answer)
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -115,7 +115,7 @@
                 fleet, new TargetChooser(settings.zone(), random.split()), mesh::entries, settings.bounds(), threads);
         ServerNotices notices = new ServerNotices(clock, log, noticesTo(dispatcher));
         EnginePort engines = platform.engines(client, notices::answered);
-        crashes = new CrashGuard(fleet, engines, clock, log, metrics);
+        crashes = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
         context = new GatewayContext(
                 clock,
                 fleet,
@@ -137,6 +137,7 @@
                 self, context, mesh, keeper, this::ready, this::changed, notices, recent, this::readsOften);
         silence = new SilenceGuard(context, engines, gossip::tellSuspects, log);
         gossip.hearers(silence::toldOf);
+        crashes.tellOthers(gossip::tellCrashes);
         server = new GatewayServer(settings, threads);
         server.start(new GatewayHandler(
                 context, settings.listeners(), platform.directory(), this::addresses, this::ready, metrics));
@@ -353,6 +354,7 @@
     /** Logs what the engines do, so that a shortage can be told from the log of any entry. */
     private void census() {
         Moment now = clock.now();
+        crashes.expire(now);
         fleet.configuration()
                 .ifPresent(c -> CensusLog.write(
                         log,
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
@@ -181,6 +182,16 @@
                 });
     }
 
+    /** Asks one entry for the crashes of the requests that it turns away. */
+    void askCrashes(EntryAnnouncement from, Consumer<List<PeerMessage.CrashNotice>> sink) {
+        client.ask(from.peerAddress(), new PeerMessage.CrashesAsk(), ANSWER_TIMEOUT)
+                .thenAccept(a -> {
+                    if (a instanceof PeerMessage.CrashesAnswer c) {
+                        sink.accept(c.notices());
+                    }
+                });
+    }
+
     /** Takes a configuration of another entry. */
     interface ConfigurationSink {
         void received(String key, String text);
--- a/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
@@ -14,6 +14,8 @@
     UNKNOWN_KEY(401),
     /** The body is longer than allowed. */
     TOO_LARGE(413),
+    /** Backend servers have ended each time that they ran the request. */
+    CRASHES_SERVERS(503),
     /** No backend server can take the request in time. */
     NO_CAPACITY(503),
     /** The backend servers that were asked did not run the request. */
--- a/entry/src/main/java/org/baobabspindle/gateway/ServerNotices.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ServerNotices.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 
@@ -29,8 +28,6 @@
     /** How long a leaving server is remembered; its process has ended long before. */
     private static final Duration REMEMBERED = Duration.ofMinutes(5);
 
-    private static final char SEPARATOR = '/';
-
     private final GatewayClock clock;
     private final EventLog log;
     private final Sink sink;
@@ -101,17 +98,15 @@
         List<String> result = new ArrayList<>();
         leaving.forEach((s, since) -> {
             if (now.since(since).compareTo(TOLD) <= 0) {
-                result.add(s.id().value() + SEPARATOR + s.bornMillis());
+                result.add(s.format());
             }
         });
         return result;
     }
 
     private static Optional<BackendServer.Lifetime> lifetime(String text) {
-        int at = text.lastIndexOf(SEPARATOR);
         try {
-            return Optional.of(new BackendServer.Lifetime(
-                    InstanceId.of(text.substring(0, Math.max(0, at))), Long.parseLong(text.substring(at + 1))));
+            return Optional.of(BackendServer.Lifetime.parse(text));
         } catch (IllegalArgumentException e) {
             LOGGER.log(Level.DEBUG, "another entry names no server: {0}", text);
             return Optional.empty();
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -13,6 +13,7 @@
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.id.Region;
+import org.baobabspindle.core.id.RequestFingerprint;
 
 /** What entries say to each other. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
@@ -33,6 +34,9 @@
     @JsonSubTypes.Type(value = PeerMessage.ConfigurationAnswer.class, name = "N"),
     @JsonSubTypes.Type(value = PeerMessage.EnginesSuspected.class, name = "s"),
     @JsonSubTypes.Type(value = PeerMessage.Noted.class, name = "S"),
+    @JsonSubTypes.Type(value = PeerMessage.CrashesTold.class, name = "k"),
+    @JsonSubTypes.Type(value = PeerMessage.CrashesAsk.class, name = "d"),
+    @JsonSubTypes.Type(value = PeerMessage.CrashesAnswer.class, name = "D"),
     @JsonSubTypes.Type(value = PeerMessage.ServersAsk.class, name = "b"),
     @JsonSubTypes.Type(value = PeerMessage.ServersAnswer.class, name = "B"),
     @JsonSubTypes.Type(value = PeerMessage.LogReadAsk.class, name = "r"),
@@ -153,6 +157,7 @@
      * @param staging the models that engines stage on its orders, by engine and start as {@code id/millis}
      * @param leaving the backend servers that it has seen leave, as {@code id/millis}
      * @param follows whether it follows the list of backend servers in the store and passes it on
+     * @param turnedAway the digest of the requests that it turns away because they crash backend servers
      */
     record Pulse(
             boolean ready,
@@ -162,7 +167,8 @@
             Map<String, Double> demand,
             Map<String, String> staging,
             List<String> leaving,
-            boolean follows) {
+            boolean follows,
+            long turnedAway) {
         /** Copies the counts. */
         public Pulse {
             loads = loads == null ? Map.of() : Map.copyOf(loads);
@@ -235,6 +241,45 @@
      */
     record EnginesSuspected(InstanceId by, List<InstanceId> engines) implements PeerMessage {}
 
+    /**
+     * Something that was noticed of a request.
+     *
+     * @param request the fingerprint of the request
+     * @param server the backend server that ended while it ran the request, as {@code id/millis}; empty if the request was answered
+     *     whole
+     * @param failureDomain what may take that server and others down at once
+     * @param ageMillis how long before this message that was noticed, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record CrashNotice(RequestFingerprint request, String server, String failureDomain, long ageMillis) {}
+
+    /**
+     * Tells what a gateway has just noticed of requests that may crash backend servers.
+     *
+     * @param notices what was noticed
+     */
+    record CrashesTold(List<CrashNotice> notices) implements PeerMessage {
+        /** Copies the notices. */
+        public CrashesTold {
+            notices = notices == null ? List.of() : List.copyOf(notices);
+        }
+    }
+
+    /** Asks for the crashes of the requests that a gateway turns away. */
+    record CrashesAsk() implements PeerMessage {}
+
+    /**
+     * The crashes of the requests that a gateway turns away.
+     *
+     * @param notices the crashes
+     */
+    record CrashesAnswer(List<CrashNotice> notices) implements PeerMessage {
+        /** Copies the notices. */
+        public CrashesAnswer {
+            notices = notices == null ? List.of() : List.copyOf(notices);
+        }
+    }
+
     /**
      * Asks an entry to read the log at once.
      *
