Keepers share the rate of the weight store by rank, and a process that starts again is not the first start

Cause 2: a keeper that has just started knows no demand and took that for the time before the first request, in which loads are free: 40 loads at once after all entries were killed, 4 allowed. Ruled out: staging that keepers tell each other bounds it, but only once they have heard each other. Why this works: equal parts of rate x factor, what is left over goes to some keepers in turn by time slots, half of it for each slot, as any window meets two. The first start comes from the settings. Tests that failed before: LoadAllowanceTests (5 of 8 cases), GroupKeeperTests.aKeeperThatStartsAgainKeepsToTheRateOfTheWeightStore.

--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/LoadAllowanceTests.java
@@ -0,0 +1,86 @@
+package org.baobabspindle.core.formation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.baobabspindle.core.time.Moment;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** After a great loss each keeper has groups to load at the same moment, before it has heard what the others load. */
+class LoadAllowanceTests {
+    private static final Duration WINDOW = Duration.ofSeconds(5);
+    private static final double FACTOR = 1.1;
+
+    private static Moment at(long millis) {
+        return new Moment(0, 0).plus(Duration.ofMillis(millis));
+    }
+
+    /** Has each keeper begin all loads that it may for a minute; returns the keeper and time of each, a column for each. */
+    private static List<long[]> loadsOfAMinute(double perSecond, int keepers, int largestGroup) {
+        List<LoadAllowance> allowances = new ArrayList<>();
+        for (int i = 0; i < keepers; i++) {
+            allowances.add(new LoadAllowance(WINDOW, FACTOR));
+        }
+        List<long[]> loads = new ArrayList<>();
+        for (long t = 0; t < 60_000; t += 100) {
+            for (int rank = 0; rank < keepers; rank++) {
+                LoadAllowance.Share share = new LoadAllowance.Share(rank, keepers);
+                int allowed = allowances.get(rank).allowed(perSecond, share, largestGroup, at(t));
+                allowances.get(rank).begun(allowed, at(t));
+                for (int i = 0; i < allowed; i++) {
+                    loads.add(new long[] {rank, t});
+                }
+            }
+        }
+        return loads;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, 7, 4", "5, 8, 4", "5.5, 7, 6", "5.5, 8, 6", "14, 8, 8", "63, 8, 8", "1, 8, 12", "0.2, 8, 4"})
+    void keepersThatLoadAtTheSameMomentStayWithinTheRate(double perSecond, int keepers, int largestGroup) {
+        List<long[]> loads = loadsOfAMinute(perSecond, keepers, largestGroup);
+        long most = 0;
+        for (long[] first : loads) {
+            long inWindow = loads.stream()
+                    .filter(l -> l[1] >= first[1] && l[1] < first[1] + WINDOW.toMillis())
+                    .count();
+            most = Math.max(most, inWindow);
+        }
+        assertThat(most).isAtMost((long) Math.floor(perSecond * WINDOW.toSeconds() * FACTOR) + 3);
+        assertThat(loads.stream().map(l -> l[0]).distinct().count()).isEqualTo(keepers);
+    }
+
+    @Test
+    void aKeeperAloneHasTheWholeRate() {
+        LoadAllowance allowance = new LoadAllowance(WINDOW, FACTOR);
+        assertThat(allowance.allowed(5, new LoadAllowance.Share(0, 1), 4, at(0)))
+                .isEqualTo(27);
+    }
+
+    @Test
+    void eachKeeperMayLoadItsLargestGroupAtOnceInTurn() {
+        for (int rank = 0; rank < 8; rank++) {
+            LoadAllowance allowance = new LoadAllowance(WINDOW, FACTOR);
+            int most = 0;
+            for (int slot = 0; slot < 8; slot++) {
+                LoadAllowance.Share share = new LoadAllowance.Share(rank, 8);
+                most = Math.max(most, allowance.allowed(5, share, 4, at(slot * WINDOW.toMillis())));
+            }
+            assertThat(most).isEqualTo(4);
+        }
+    }
+
+    @Test
+    void loadsAreAllowedAgainOnceTheWindowHasPassed() {
+        LoadAllowance allowance = new LoadAllowance(WINDOW, FACTOR);
+        allowance.begun(27, at(0));
+        assertThat(allowance.allowed(5, new LoadAllowance.Share(0, 1), 4, at(5_000)))
+                .isEqualTo(0);
+        assertThat(allowance.allowed(5, new LoadAllowance.Share(0, 1), 4, at(5_001)))
+                .isEqualTo(27);
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -235,7 +235,17 @@
     }
 
     private void start() throws IOException {
-        log.write("start", "listening", "entry", self.entry(), "address", self.callerAddress(), "zone", self.zone());
+        log.write(
+                "start",
+                "listening",
+                "entry",
+                self.entry(),
+                "address",
+                self.callerAddress(),
+                "zone",
+                self.zone(),
+                "firstStart",
+                settings.firstStart());
         peerServer = PeerServer.start(
                 self.host(), self.peerPort(), new PeerSecret(self.secret()), peerWorkers, gossip::answer, traffic);
         feed(
@@ -347,7 +357,7 @@
                         fleet.servers(),
                         mesh.demand(context.dispatcher().demand(now), now),
                         mesh.staging(now),
-                        mesh.aliveEntries(now)),
+                        KeeperRanks.share(mesh.rankAmongAlive(now), mesh.aliveEntries(now))),
                 now);
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -73,7 +73,8 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        this.loads = new LoadAllowance(settings.bounds().loadWindow());
+        this.loads = new LoadAllowance(
+                settings.bounds().loadWindow(), settings.bounds().loadFactor());
     }
 
     /**
@@ -83,26 +84,22 @@
      * @param servers the backend servers
      * @param demand the slots that requests to all entries would fill, by model
      * @param stagedElsewhere the models that engines stage on orders of other keepers, by engine and start
-     * @param keepers the entries that share the keepers' work
+     * @param share this entry's place among the keepers
      */
     record Inputs(
             FleetConfiguration configuration,
             Collection<BackendServer> servers,
             Map<String, Double> demand,
             Map<String, String> stagedElsewhere,
-            int keepers) {}
+            LoadAllowance.Share share) {}
 
     /** Returns the models that engines stage on this entry's orders, by engine and start. */
     synchronized Map<String, String> staging(Moment now) {
         Map<String, String> result = new HashMap<>();
-        formation.staging(now).forEach((engine, model) -> result.put(key(engine), model));
+        formation.staging(now).forEach((engine, model) -> result.put(engine.format(), model));
         return result;
     }
 
-    private static String key(BackendServer.Lifetime engine) {
-        return engine.id() + "/" + engine.bornMillis();
-    }
-
     /** Decides and sends orders for all services with engines. */
     void tick(Inputs inputs, Moment now) {
         Optional<Long> term = lease.term(now);
@@ -130,9 +127,13 @@
         List<BackendServer> own = in.servers().stream()
                 .filter(s -> s.service().equals(service.name()))
                 .toList();
-        boolean calm = in.demand().isEmpty();
-        ModelDemand demand = calm ? ModelDemand.expected(profile, own.size()) : ModelDemand.of(in.demand());
-        int allowed = calm ? own.size() : loads.allowed(profile.loadsPerSecond(), in.keepers(), largest(profile), now);
+        ModelDemand demand =
+                in.demand().isEmpty() ? ModelDemand.expected(profile, own.size()) : ModelDemand.of(in.demand());
+        // An entry that starts again knows no demand either, but others have served requests before.
+        boolean beforeRequests = settings.firstStart() && in.demand().isEmpty();
+        int allowed = beforeRequests
+                ? own.size()
+                : loads.allowed(profile.loadsPerSecond(), in.share(), largest(profile), now);
         Formation.View view = new Formation.View(
                 profile,
                 own,
@@ -143,13 +144,13 @@
                 stagedElsewhere(own, in.stagedElsewhere()),
                 policy,
                 allowed,
-                calm);
+                beforeRequests);
         List<FormationAction> actions = formation.decide(view, now);
         if (!formation.summary().equals(loggedPlan)) {
             loggedPlan = formation.summary();
             log.write("plan", "the fleet or its demand has changed", "domains", loggedPlan, "loads", allowed);
         }
-        if (!calm) {
+        if (!beforeRequests) {
             countLoads(profile, actions, now);
         }
         return actions;
@@ -159,7 +160,7 @@
             List<BackendServer> engines, Map<String, String> staging) {
         Map<BackendServer.Lifetime, String> result = new HashMap<>();
         for (BackendServer s : engines) {
-            String model = staging.get(key(s.lifetime()));
+            String model = staging.get(s.lifetime().format());
             if (model != null) {
                 result.put(s.lifetime(), model);
             }
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperRanks.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperRanks.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import net.openhft.hashing.LongHashFunction;
+import org.baobabspindle.core.formation.LoadAllowance;
 import org.baobabspindle.core.id.InstanceId;
 
 /**
@@ -22,6 +23,12 @@
         return before;
     }
 
+    /** Returns the place of an entry among the keepers; one that is about to be none counts as the last. */
+    static LoadAllowance.Share share(int rank, int entries) {
+        int keepers = Math.min(entries, KeeperCandidacy.KEEPERS);
+        return new LoadAllowance.Share(Math.min(rank, keepers - 1), keepers);
+    }
+
     private static boolean isBefore(InstanceId a, InstanceId b) {
         long x = HASH.hashChars(a.value());
         long y = HASH.hashChars(b.value());
--- a/entry/src/main/java/org/baobabspindle/port/GatewaySettings.java
+++ b/entry/src/main/java/org/baobabspindle/port/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param bounds the bounds that the users state
  * @param leasePartitions into how many partitions the keepers' work is divided
  * @param leastLease the shortest time to live of a lease
+ * @param firstStart whether the whole system starts for the first time; false for a process that starts again or joins later
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -27,7 +28,8 @@
         Listeners listeners,
         Bounds bounds,
         int leasePartitions,
-        Duration leastLease) {
+        Duration leastLease,
+        boolean firstStart) {
     /** Copies the regions. */
     public GatewaySettings {
         regions = Map.copyOf(regions);
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -73,6 +73,7 @@
     private volatile Optional<CompletableFuture<LeaseGrant>> renewals = Optional.empty();
     private final InstanceId instance;
     private final List<FeedRecord> entries;
+    private volatile boolean firstStart = true;
     private volatile boolean down;
 
     /** An order that an engine was sent. */
@@ -157,6 +158,11 @@
         return result;
     }
 
+    /** Has the settings say from now on that the process starts again or joins later. */
+    void startsAgain() {
+        firstStart = false;
+    }
+
     /** Makes every call to the store fail from now on. */
     void takeDown() {
         down = true;
@@ -183,7 +189,8 @@
                         1.1,
                         Duration.ofSeconds(5)),
                 1,
-                Duration.ofSeconds(1));
+                Duration.ofSeconds(1),
+                firstStart);
     }
 
     @Override
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.baobabspindle.core.fleet.GroupMembership;
 import org.baobabspindle.core.fleet.MemberState;
 import org.baobabspindle.core.fleet.PlanPolicy;
+import org.baobabspindle.core.formation.LoadAllowance;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
@@ -39,6 +41,9 @@
     /** After this no more engines are awaited, so that those there are stage weights. */
     private static final Duration SETTLED = Duration.ofSeconds(1);
 
+    /** After this no more engines are awaited at the first start of the whole system either. */
+    private static final Duration NONE_AWAITED = Duration.ofSeconds(10);
+
     private final GatewayClock clock = new GatewayClock();
     private FakePlatform platform;
     private FleetConfiguration configuration;
@@ -85,7 +90,8 @@
     /** Has the keeper decide; the engines are new to it at the first tick. */
     private void tick(Duration later) {
         keeper.tick(
-                new GroupKeeper.Inputs(configuration, engines, Map.of(), stagedElsewhere, 1),
+                new GroupKeeper.Inputs(
+                        configuration, engines, Map.of(), stagedElsewhere, new LoadAllowance.Share(0, 8)),
                 clock.now().plus(later));
     }
 
@@ -135,6 +141,30 @@
         assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Stage.class);
     }
 
+    /** All entries are killed and start again, without having seen a request, while many engines hold no weights. */
+    @Test
+    void aKeeperThatStartsAgainKeepsToTheRateOfTheWeightStore() {
+        platform.startsAgain();
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.STARTED));
+        List<BackendServer> free = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            free.add(TestEngines.engine("f" + i, Optional.empty(), Optional.empty(), Optional.empty()));
+        }
+        engines = free;
+        keeper = newKeeper();
+        tick(Duration.ZERO);
+        long before = orders();
+        for (int i = 0; i < 10; i++) {
+            tick(NONE_AWAITED);
+        }
+        assertThat(orders()).isGreaterThan(before);
+        assertThat(orders() - before).isAtMost(4);
+    }
+
+    private long orders() {
+        return engines.stream().mapToLong(e -> platform.ordersTo(e.id()).size()).sum();
+    }
+
     @Test
     void aHostThatIsAtAnotherLoadIsNotAskedToStageAgain() throws Exception {
         engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
