--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
@@ -0,0 +1,84 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.CallerLimits;
+import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.port.FeedRecord;
+import org.baobabspindle.port.FleetDecoder;
+import org.junit.jupiter.api.Test;
+
+/** Versions of the configuration that come late, twice, out of order, from the store and from other entries. */
+class FleetTableTests {
+    private final FleetTable table = new FleetTable(new NumberDecoder(), new EventLog());
+
+    /** Reads a version from a number and nothing from other texts. */
+    private static final class NumberDecoder implements FleetDecoder {
+        @Override
+        public Optional<FleetConfiguration> configuration(FeedRecord record) {
+            String text = new String(record.value().orElseThrow(), StandardCharsets.UTF_8);
+            if (!text.matches("\\d+")) {
+                return Optional.empty();
+            }
+            CallerLimits limits = new CallerLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1));
+            return Optional.of(
+                    new FleetConfiguration(Long.parseLong(text), List.of(), List.of(), Map.of(), true, limits));
+        }
+
+        @Override
+        public Optional<BackendServer> server(FeedRecord record) {
+            return Optional.empty();
+        }
+    }
+
+    private static Moment at(long millis) {
+        return new Moment(0, 0).plus(Duration.ofMillis(millis));
+    }
+
+    private void read(String text, long askedAt) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        table.configurationRead(List.of(new FeedRecord("configuration", Optional.of(bytes))), at(askedAt));
+    }
+
+    @Test
+    void aVersionNeverGoesBack() {
+        read("7", 0);
+        read("5", 10);
+        table.configurationFromPeer("configuration", "6");
+        assertThat(table.version()).isEqualTo(7);
+        assertThat(table.configurationText()).isEqualTo("7");
+    }
+
+    @Test
+    void aNewerVersionIsTakenFromAnotherEntryWhileTheStoreIsAway() {
+        read("7", 0);
+        table.configurationFromPeer("configuration", "9");
+        assertThat(table.version()).isEqualTo(9);
+    }
+
+    @Test
+    void aRecordThatCannotBeReadLeavesTheConfigurationInForce() {
+        read("7", 0);
+        read("half of a rec", 10);
+        assertThat(table.version()).isEqualTo(7);
+    }
+
+    @Test
+    void theProofOfAnotherEntryCountsForTheSameVersionOnly() {
+        read("7", 0);
+        table.provenByPeer(5, at(4_000));
+        assertThat(table.configurationAge(at(5_000))).isEqualTo(Optional.of(Duration.ofSeconds(5)));
+        table.provenByPeer(7, at(4_000));
+        assertThat(table.configurationAge(at(5_000))).isEqualTo(Optional.of(Duration.ofSeconds(1)));
+        table.provenByPeer(7, at(2_000));
+        assertThat(table.configurationAge(at(5_000))).isEqualTo(Optional.of(Duration.ofSeconds(1)));
+    }
+}
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTests.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabspindle.port.Feed;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -41,6 +42,16 @@
             assertThat(status(platform.callers() + "/nowhere/x")).isEqualTo(404);
         }
 
+        /** A newer version may have brought the route or the key. */
+        @Test
+        void nothingIsDeniedForGoodOnceTheConfigurationCannotBeProvenRecent() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            assertThat(status(platform.callers() + "/nowhere/x")).isEqualTo(404);
+            platform.failReads(Feed.CONFIGURATION, true);
+            await(() -> status(platform.callers() + "/nowhere/x") == 503);
+            assertThat(status(platform.callers() + "/unsafe/x")).isEqualTo(503);
+        }
+
         @Test
         void keysAreRefusedOnceTheConfigurationCannotBeProven() throws Exception {
             start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
@@ -97,6 +97,22 @@
         }
     }
 
+    @Nested
+    class Restart {
+        /** All entries were killed; nothing is left but what the store holds. */
+        @Test
+        void anEntryThatStartsAgainServesWithinSeconds() throws Exception {
+            start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+            node.shutDown();
+            long begun = System.nanoTime();
+            node = GatewayNode.open(platform);
+            await(() -> status(platform.readiness()) == 200);
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+            assertThat(Duration.ofNanos(System.nanoTime() - begun)).isLessThan(Duration.ofSeconds(6));
+        }
+    }
+
     @Nested
     class Time {
         @Test
