A group's head that falls silent under a request counts as one that ended; the crash check goes before that of capacity

SilentHeadTests: two heads fall silent under a stream, each alone in its group, and are listed with a later start; the stream is turned away. It failed first because a request without any target was told 0.3 s (no capacity) in place of the time for which it is turned away; the check now stands in CallerAdmission, which also brings CallerExchange down.

--- a/core/src/main/java/org/baobabspindle/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashLedger.java
@@ -198,7 +198,7 @@
     public Map<Crash, Moment> turnedAway(Moment now) {
         Map<Crash, Moment> result = new LinkedHashMap<>();
         for (History h : histories.values()) {
-            if (h.counting(now).size() >= MOST_CRASHES) {
+            if (h.crashes.size() >= MOST_CRASHES && h.counting(now).size() >= MOST_CRASHES) {
                 h.crashes.forEach((crash, at) -> {
                     if (h.recent(at, now)) {
                         result.put(crash, at);
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -30,6 +30,8 @@
     private Optional<Route> route = Optional.empty();
     private Optional<TargetPool> pool = Optional.empty();
     private Moment deadline;
+    private byte[] body = new byte[0];
+    private Optional<Duration> comeBack = Optional.empty();
 
     CallerAdmission(GatewayContext context, Request request, Moment receivedAt) {
         this.context = context;
@@ -41,7 +43,8 @@
     }
 
     /** Judges a request whose body has been read; returns why it is refused, if it is. */
-    Optional<Refusal> judge(int bodyBytes, Moment now) {
+    Optional<Refusal> judge(byte[] content, Moment now) {
+        body = content;
         Optional<FleetConfiguration> known = context.fleet().configuration();
         if (known.isEmpty()) {
             return Optional.of(Refusal.NOT_CONFIGURED);
@@ -52,7 +55,7 @@
         if (route.isEmpty()) {
             return Optional.of(denial(Refusal.NO_ROUTE, now));
         }
-        if (bodyBytes > configuration.limits().maxBodyBytes()) {
+        if (body.length > configuration.limits().maxBodyBytes()) {
             return Optional.of(Refusal.TOO_LARGE);
         }
         Optional<Refusal> refusal = judgeKey(now);
@@ -61,6 +64,10 @@
         }
         deadline = receivedAt.plus(timeAllowed(route.get()));
         pool = Optional.of(choosePool(configuration, route.get()));
+        refusal = judgeCrashes(now);
+        if (refusal.isPresent()) {
+            return refusal;
+        }
         if (context.stopping().refusesNew(streaming(), now)) {
             return Optional.of(Refusal.STOPPING);
         }
@@ -84,6 +91,26 @@
                 : Optional.empty();
     }
 
+    /** Refuses the request if servers have ended under it, in whichever attempt and at whichever entry. */
+    Optional<Refusal> judgeCrashes(Moment now) {
+        return turnedAwayFor(context.crashes().turnedAwayFor(this::fingerprint, now));
+    }
+
+    /** Judges again what may have changed while the request waited; if nothing speaks against it, it is sent. */
+    Optional<Refusal> judgeSend(Moment now) {
+        return judgeKey(now).or(() -> turnedAwayFor(context.crashes().trySend(this::fingerprint, now)));
+    }
+
+    private Optional<Refusal> turnedAwayFor(Optional<Duration> time) {
+        comeBack = time;
+        return time.map(t -> Refusal.CRASHES_SERVERS);
+    }
+
+    /** Returns when the caller may come back, where that is known. */
+    Optional<Duration> comeBack() {
+        return comeBack;
+    }
+
     /** Says a final no only while the configuration is known to be recent; a newer one may allow the request. */
     private Refusal denial(Refusal refusal, Moment now) {
         boolean recent = context.fleet()
@@ -129,7 +156,7 @@
     }
 
     /** Names what is asked for, whichever attempt asks. */
-    RequestFingerprint fingerprint(byte[] body) {
+    RequestFingerprint fingerprint() {
         String account = account().map(a -> a.account().value()).orElse("");
         String head = account
                 + '\n'
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -49,7 +49,6 @@
     private long waitedMillis;
     private Moment waitingSince;
     private Moment sentAt;
-    private Optional<Duration> comeBack = Optional.empty();
 
     CallerExchange(GatewayContext context, Request request, Response response, Callback callback, Moment now) {
         this.context = context;
@@ -65,7 +64,7 @@
     void begin(byte[] content, Moment now) {
         synchronized (this) {
             body = content;
-            Optional<Refusal> refusal = admission.judge(content.length, now).or(() -> turnedAway(now));
+            Optional<Refusal> refusal = admission.judge(content, now);
             admission.pool().ifPresent(p -> context.dispatcher().requested(p, now));
             if (refusal.isPresent()) {
                 refuse(refusal.get(), "", now);
@@ -134,19 +133,7 @@
         if (!now.isBefore(admission.deadline())) {
             return Optional.of(mayHaveRun ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY);
         }
-        return admission
-                .judgeKey(now)
-                .or(() -> told(context.crashes().trySend(() -> admission.fingerprint(body), now)));
-    }
-
-    /** Refuses the request if servers have ended under it, in whichever attempt and at whichever entry. */
-    private Optional<Refusal> turnedAway(Moment now) {
-        return told(context.crashes().turnedAwayFor(() -> admission.fingerprint(body), now));
-    }
-
-    private Optional<Refusal> told(Optional<Duration> turnedAwayFor) {
-        comeBack = turnedAwayFor;
-        return comeBack.map(d -> Refusal.CRASHES_SERVERS);
+        return admission.judgeSend(now);
     }
 
     private BackendCall.Stamped stamped(Moment now) {
@@ -251,8 +238,7 @@
 
     private void brokenOff(Moment now) {
         context.crashes()
-                .brokeOff(
-                        admission.fingerprint(body), id(), target.orElseThrow().server(), now);
+                .brokeOff(admission.fingerprint(), id(), target.orElseThrow().server(), now);
     }
 
     private String service() {
@@ -310,7 +296,7 @@
         boolean allowed = runs < admission.route().orElseThrow().maxAttempts()
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
-                && turnedAway(now).isEmpty()
+                && admission.judgeCrashes(now).isEmpty()
                 && (!budgeted || context.tryRetry(service(), now));
         if (!allowed) {
             return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, why, now);
@@ -343,7 +329,7 @@
     }
 
     private Next deliver(Moment now) {
-        context.crashes().served(() -> admission.fingerprint(body), now);
+        context.crashes().served(admission::fingerprint, now);
         boolean retryServerError = answer.status() >= 500
                 && admission.route().orElseThrow().repeatable()
                 && !answer.committed()
@@ -374,7 +360,7 @@
             finished("cut", cause + ": " + why, answer.status(), now);
             return;
         }
-        answer.refuse(refusal, comeBack);
+        answer.refuse(refusal, admission.comeBack());
         finished("refused", cause + (why.isEmpty() ? "" : ": " + why), refusal.status(), now);
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -65,6 +65,7 @@
     private final List<BackendServer> servers;
     private final List<Integer> ports = new ArrayList<>();
     private final Set<Feed> failing = ConcurrentHashMap.newKeySet();
+    private final Set<InstanceId> silent = ConcurrentHashMap.newKeySet();
     private final Queue<FeedRecord> serverRecords = new ConcurrentLinkedQueue<>();
     private final Queue<SentOrder> orders = new ConcurrentLinkedQueue<>();
     private volatile CompletableFuture<OrderAnswer> orderAnswer =
@@ -94,7 +95,7 @@
         this.instance = InstanceId.of(instance);
         this.entries = entries;
         this.configuration = configuration;
-        this.servers = List.copyOf(servers);
+        this.servers = new CopyOnWriteArrayList<>(servers);
         List<ServerSocket> sockets = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -136,6 +137,17 @@
         serverRecords.add(new FeedRecord(id, Optional.empty()));
     }
 
+    /** Lists a later life of a backend server. */
+    void listAnew(BackendServer later) {
+        servers.replaceAll(s -> s.id().equals(later.id()) ? later : s);
+        serverRecords.add(new FeedRecord(later.id().value(), Optional.of(new byte[1])));
+    }
+
+    /** Has a backend server answer no question from now on. */
+    void silence(InstanceId server) {
+        silent.add(server);
+    }
+
     /** Grants partitions of the keepers' work from now on. */
     void grantPartitions(Set<Integer> granted) {
         partitions = Set.copyOf(granted);
@@ -301,12 +313,18 @@
     @Override
     public CompletableFuture<Optional<EngineReport>> probe(BackendServer server, Duration timeout) {
         return CompletableFuture.completedFuture(
-                Optional.of(new EngineReport(0, 0, false, server.group().map(m -> m.key()))));
+                silent.contains(server.id())
+                        ? Optional.empty()
+                        : Optional.of(
+                                new EngineReport(0, 0, false, server.group().map(m -> m.key()))));
     }
 
     /** Connects to the server and does not send anything. */
     @Override
     public CompletableFuture<Liveness> liveness(BackendServer server, String healthPath, Duration timeout) {
+        if (silent.contains(server.id())) {
+            return CompletableFuture.completedFuture(Liveness.SILENT);
+        }
         try (Socket s = new Socket(server.host(), server.port())) {
             return CompletableFuture.completedFuture(s.isConnected() ? Liveness.RUNNING : Liveness.SILENT);
         } catch (ConnectException e) {
