A notice of another entry that names no server is ignored; the others of its message count

Found by reading: one malformed notice would have dropped the rest of the message. Test: CrashingRequestTests.noticesThatNameNoServerAreIgnored.

--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -1,5 +1,7 @@
 package org.baobabspindle.gateway;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +28,8 @@
  * shares that with the other entries. Its lock is the last one to be taken but for that of the fleet table.
  */
 final class CrashGuard {
+    private static final Logger LOGGER = System.getLogger(CrashGuard.class.getName());
+
     /** The wait for the answer to a question; a silent server is asked again. */
     private static final Duration QUESTION_TIMEOUT = SilenceGuard.PROBE_TIMEOUT;
 
@@ -107,17 +111,24 @@
 
     /** Takes over what another entry has noticed. */
     void told(List<PeerMessage.CrashNotice> notices) {
-        Moment now = clock.now();
         for (PeerMessage.CrashNotice n : notices) {
-            Moment at = now.minus(Duration.ofMillis(Math.max(0, n.ageMillis())));
-            if (n.server().isEmpty()) {
-                synchronized (this) {
-                    ledger.served(n.request(), at, now);
-                }
-            } else {
-                BackendServer.Lifetime server = BackendServer.Lifetime.parse(n.server());
-                note(new Crash(n.request(), server, n.failureDomain()), at, now, "another entry");
+            try {
+                told(n, clock.now());
+            } catch (IllegalArgumentException e) {
+                LOGGER.log(Level.DEBUG, "a notice of another entry names no server: {0}", n);
+            }
+        }
+    }
+
+    private void told(PeerMessage.CrashNotice n, Moment now) {
+        Moment at = now.minus(Duration.ofMillis(Math.max(0, n.ageMillis())));
+        if (n.server().isEmpty()) {
+            synchronized (this) {
+                ledger.served(n.request(), at, now);
             }
+        } else {
+            BackendServer.Lifetime server = BackendServer.Lifetime.parse(n.server());
+            note(new Crash(n.request(), server, n.failureDomain()), at, now, "another entry");
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.baobabspindle.core.group.Lifecycle;
+import org.baobabspindle.core.id.Checks;
 import org.baobabspindle.core.id.ClientAccountId;
 import org.baobabspindle.core.id.ConfigurationVersion;
 import org.baobabspindle.core.id.GroupId;
@@ -251,7 +252,13 @@
      * @param ageMillis how long before this message that was noticed, in milliseconds
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record CrashNotice(RequestFingerprint request, String server, String failureDomain, long ageMillis) {}
+    record CrashNotice(RequestFingerprint request, String server, String failureDomain, long ageMillis) {
+        /** Checks the parts. */
+        public CrashNotice {
+            Checks.require(request != null, "request must be given");
+            Checks.require(server != null && failureDomain != null, "server and failure domain must be given");
+        }
+    }
 
     /**
      * Tells what a gateway has just noticed of requests that may crash backend servers.
--- a/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
@@ -10,8 +10,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabspindle.core.id.RequestFingerprint;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -171,6 +175,21 @@
         assertThat(crashed()).isAtMost(MOST_CRASHES);
     }
 
+    @Test
+    void noticesThatNameNoServerAreIgnored() throws Exception {
+        startServers();
+        GatewayClock clock = new GatewayClock();
+        FleetTable fleet = new FleetTable(platform, new EventLog());
+        CrashGuard guard =
+                new CrashGuard(fleet, platform, clock, new EventLog(), new GatewayMetrics(), new SplittableRandom(1));
+        RequestFingerprint request = RequestFingerprint.of("a");
+        guard.told(List.of(
+                new PeerMessage.CrashNotice(request, "no life", "d", 0),
+                new PeerMessage.CrashNotice(request, "s1/1", "d1", 0),
+                new PeerMessage.CrashNotice(request, "s2/1", "d2", -5)));
+        assertThat(guard.turnedAway(clock.now())).hasSize(2);
+    }
+
     @Nested
     class SoundRequests {
         @Test
