A request turned away in doubt is tried again by one entry only

The entry is the first choice by rendezvous hashing among those that answer. Test: CrashLedgerTests.afterAWhileInDoubtOneEntryAloneTriesIt (the code before had no such difference).

--- a/core/src/main/java/org/baobabspindle/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashLedger.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 
@@ -38,7 +39,7 @@
     /** How long a crash counts, and how long a request is turned away that is certain to bring them about. */
     private static final Duration MEMORY = Duration.ofMinutes(10);
 
-    /** How often a request is tried again that was turned away in doubt; its outcome is known and told by then. */
+    /** How often one entry tries a request again that was turned away in doubt; its outcome is known and told by then. */
     private static final Duration TRIAL_PAUSE = Duration.ofSeconds(1);
 
     /** The requests that are remembered; several hundred servers have ended within the memory by then. */
@@ -154,10 +155,12 @@
      *
      * @param request the request
      * @param unsettled the servers that broke it off and of which it is not known yet whether they have ended
+     * @param triesHere whether this entry is the one that tries it again after it was turned away in doubt
      * @param now the present time
      * @return when it may come back; empty if it may be sent to a server
      */
-    public Optional<Duration> turnedAwayFor(RequestFingerprint request, int unsettled, Moment now) {
+    public Optional<Duration> turnedAwayFor(
+            RequestFingerprint request, int unsettled, BooleanSupplier triesHere, Moment now) {
         History h = histories.get(request);
         List<Moment> crashes = h == null ? List.of() : h.counting(now);
         if (crashes.size() + unsettled < MOST_CRASHES) {
@@ -173,7 +176,7 @@
         long untilTrial = h.triedAt
                 .map(t -> TRIAL_PAUSE.toMillis() - now.steadyMillisSince(t))
                 .orElse(0L);
-        long wait = Math.max(left, untilTrial);
+        long wait = left > 0 ? left : triesHere.getAsBoolean() ? untilTrial : TRIAL_PAUSE.toMillis();
         return wait > 0 ? Optional.of(Duration.ofMillis(wait)) : Optional.empty();
     }
 
--- a/core/src/test/java/org/baobabspindle/core/crash/CrashLedgerTests.java
+++ b/core/src/test/java/org/baobabspindle/core/crash/CrashLedgerTests.java
@@ -35,7 +35,7 @@
     }
 
     private Optional<Duration> left(int unsettled, long millis) {
-        return ledger.turnedAwayFor(REQUEST, unsettled, at(millis));
+        return ledger.turnedAwayFor(REQUEST, unsettled, () -> true, at(millis));
     }
 
     private static Optional<Duration> millis(long millis) {
@@ -100,6 +100,18 @@
             assertThat(left(0, 36_000)).isEqualTo(Optional.empty());
         }
 
+        /** Callers come back at every entry once its time is over. */
+        @Test
+        void afterAWhileInDoubtOneEntryAloneTriesIt() {
+            crashed(1, 0);
+            crashed(2, 5_000);
+            assertThat(ledger.turnedAwayFor(REQUEST, 0, () -> true, at(35_000))).isEqualTo(Optional.empty());
+            assertThat(ledger.turnedAwayFor(REQUEST, 0, () -> false, at(35_000)))
+                    .isEqualTo(millis(1_000));
+            assertThat(ledger.turnedAwayFor(RequestFingerprint.of("b"), 0, () -> false, at(35_000)))
+                    .isEqualTo(Optional.empty());
+        }
+
         @Test
         void aCrashThatSeveralEntriesReportCountsOnce() {
             for (int i = 0; i < 5; i++) {
@@ -112,9 +124,9 @@
         void serversWhoseFateIsNotKnownYetCountForTheMoment() {
             crashed(1, 0);
             assertThat(left(1, 1)).isEqualTo(millis(1_000));
-            assertThat(ledger.turnedAwayFor(RequestFingerprint.of("b"), 2, at(1)))
+            assertThat(ledger.turnedAwayFor(RequestFingerprint.of("b"), 2, () -> true, at(1)))
                     .isEqualTo(millis(1_000));
-            assertThat(ledger.turnedAwayFor(RequestFingerprint.of("b"), 1, at(1)))
+            assertThat(ledger.turnedAwayFor(RequestFingerprint.of("b"), 1, () -> true, at(1)))
                     .isEqualTo(Optional.empty());
         }
 
@@ -123,7 +135,8 @@
             crashed(1, 0);
             crashed(2, 0);
             Moment jumped = new Moment(at(10).steadyNanos(), Duration.ofHours(1).toMillis());
-            assertThat(ledger.turnedAwayFor(REQUEST, 0, jumped).isPresent()).isTrue();
+            assertThat(ledger.turnedAwayFor(REQUEST, 0, () -> true, jumped).isPresent())
+                    .isTrue();
         }
     }
 
@@ -159,7 +172,8 @@
                 for (int i = 0; i < 11; i++) {
                     RequestFingerprint beside = RequestFingerprint.of("s" + server + "r" + i);
                     ledger.crashed(crash(beside, server), at(server), at(server));
-                    assertThat(ledger.turnedAwayFor(beside, 0, at(server))).isEqualTo(Optional.empty());
+                    assertThat(ledger.turnedAwayFor(beside, 0, () -> true, at(server)))
+                            .isEqualTo(Optional.empty());
                 }
             }
             assertThat(ledger.turnedAway(at(4)).keySet())
@@ -193,8 +207,8 @@
             }
             ledger.turnedAway(at(MINUTE)).forEach((c, noticed) -> other.crashed(c, noticed, at(MINUTE)));
             assertThat(other.digest(at(MINUTE))).isEqualTo(ledger.digest(at(MINUTE)));
-            assertThat(ledger.turnedAwayFor(REQUEST, 0, at(MINUTE))).isEqualTo(Optional.empty());
-            assertThat(other.turnedAwayFor(REQUEST, 0, at(MINUTE))).isEqualTo(Optional.empty());
+            assertThat(ledger.turnedAwayFor(REQUEST, 0, () -> true, at(MINUTE))).isEqualTo(Optional.empty());
+            assertThat(other.turnedAwayFor(REQUEST, 0, () -> true, at(MINUTE))).isEqualTo(Optional.empty());
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.core.crash.Crash;
@@ -25,7 +24,7 @@
 
 /**
  * Turns requests away that end the backend servers that run them: finds out which requests were running at servers that ended, and
- * shares that with the other entries. Its lock is the last one to be taken but for that of the fleet table.
+ * shares that with the other entries. Its lock is taken before those of the fleet table and the mesh of entries, and after all others.
  */
 final class CrashGuard {
     private static final Logger LOGGER = System.getLogger(CrashGuard.class.getName());
@@ -41,10 +40,31 @@
     private final RandomGenerator random;
     private final CrashEvidence evidence = new CrashEvidence();
     private final CrashLedger ledger = new CrashLedger();
-    private volatile Consumer<List<PeerMessage.CrashNotice>> others = notices -> {};
+    private volatile Others others = Others.NONE;
     private volatile boolean inquiring;
     private volatile boolean remembering;
 
+    /** The other entries. */
+    interface Others {
+        Others NONE = new Others() {
+            @Override
+            public void tell(List<PeerMessage.CrashNotice> notices) {
+                // There is nobody to tell.
+            }
+
+            @Override
+            public boolean triesHere(RequestFingerprint request, Moment now) {
+                return true;
+            }
+        };
+
+        /** Tells them what this entry has noticed. */
+        void tell(List<PeerMessage.CrashNotice> notices);
+
+        /** Returns whether it is this entry, among those that answer, that tries a request again. */
+        boolean triesHere(RequestFingerprint request, Moment now);
+    }
+
     CrashGuard(
             FleetTable fleet,
             EnginePort engines,
@@ -60,9 +80,8 @@
         this.random = random;
     }
 
-    /** Names who tells the other entries what this one notices. */
-    void tellOthers(Consumer<List<PeerMessage.CrashNotice>> teller) {
-        others = teller;
+    void others(Others newOthers) {
+        others = newOthers;
     }
 
     /** Returns when a request may come back that is not to be sent to a server; empty if it may be sent. */
@@ -72,7 +91,7 @@
         }
         RequestFingerprint f = request.get();
         synchronized (this) {
-            return ledger.turnedAwayFor(f, evidence.unsettled(f), now);
+            return ledger.turnedAwayFor(f, evidence.unsettled(f), () -> others.triesHere(f, now), now);
         }
     }
 
@@ -83,7 +102,8 @@
         }
         RequestFingerprint f = request.get();
         synchronized (this) {
-            Optional<Duration> wait = ledger.turnedAwayFor(f, evidence.unsettled(f), now);
+            Optional<Duration> wait =
+                    ledger.turnedAwayFor(f, evidence.unsettled(f), () -> others.triesHere(f, now), now);
             if (wait.isEmpty()) {
                 ledger.sent(f, now);
             }
@@ -105,7 +125,7 @@
         }
         if (news) {
             log.write("crash", "the request was answered whole and has crashed nothing", "fingerprint", f);
-            others.accept(List.of(new PeerMessage.CrashNotice(f, "", "", 0)));
+            others.tell(List.of(new PeerMessage.CrashNotice(f, "", "", 0)));
         }
     }
 
@@ -301,7 +321,7 @@
             notices.add(notice(c, at, now));
         });
         metrics.crashed(proven.size());
-        others.accept(notices);
+        others.tell(notices);
     }
 
     private void note(Crash c, Moment at, Moment now, String source) {
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -11,11 +11,12 @@
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerMessage;
 
 /** What this entry tells other entries, and what it takes over from them. */
-final class GatewayGossip {
+final class GatewayGossip implements CrashGuard.Others {
     private final EntryAnnouncement self;
     private final GatewayContext context;
     private final PeerMesh mesh;
@@ -95,9 +96,14 @@
         }
     }
 
-    /** Tells every entry that answers what this one has noticed of requests that may crash servers. */
-    void tellCrashes(List<PeerMessage.CrashNotice> crashes) {
-        mesh.tell(new PeerMessage.CrashesTold(crashes), context.clock().now());
+    @Override
+    public void tell(List<PeerMessage.CrashNotice> notices) {
+        mesh.tell(new PeerMessage.CrashesTold(notices), context.clock().now());
+    }
+
+    @Override
+    public boolean triesHere(RequestFingerprint request, Moment now) {
+        return mesh.firstChoice(request.value(), now);
     }
 
     /** The age in a pulse counts until it was sent, which was not before this entry asked. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -137,7 +137,7 @@
                 self, context, mesh, keeper, this::ready, this::changed, notices, recent, this::readsOften);
         silence = new SilenceGuard(context, engines, gossip::tellSuspects, log);
         gossip.hearers(silence::toldOf);
-        crashes.tellOthers(gossip::tellCrashes);
+        crashes.others(gossip);
         server = new GatewayServer(settings, threads);
         server.start(new GatewayHandler(
                 context, settings.listeners(), platform.directory(), this::addresses, this::ready, metrics));
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.baobabspindle.core.group.Rendezvous;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
@@ -246,6 +247,14 @@
         return KeeperRanks.rank(self.entry().instance(), others);
     }
 
+    /** Returns whether this entry is the first choice for a name among those that answer. */
+    boolean firstChoice(String name, Moment now) {
+        List<InstanceId> all = new ArrayList<>();
+        all.add(self.entry().instance());
+        alive(now).forEach(p -> all.add(p.entry.entry().instance()));
+        return Rendezvous.rank(name, all).get(0).equals(self.entry().instance());
+    }
+
     /** Adds up the slots that the requests to all entries would fill, by model. */
     Map<String, Double> demand(Map<String, Double> own, Moment now) {
         Map<String, Double> result = new HashMap<>(own);
