--- a/core/src/main/java/org/baobabspindle/core/id/Checks.java
+++ b/core/src/main/java/org/baobabspindle/core/id/Checks.java
@@ -24,6 +24,18 @@
         return value;
     }
 
+    /**
+     * Returns whether a value is a well-formed identifier.
+     *
+     * @param value the value
+     * @return whether {@link #identifier} accepts it
+     */
+    static boolean isIdentifier(String value) {
+        return !value.isBlank()
+                && value.length() <= MAX_IDENTIFIER_LENGTH
+                && value.chars().noneMatch(Character::isISOControl);
+    }
+
     /**
      * Checks that a number is not negative and returns it.
      *
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import org.baobabspindle.core.dispatch.RequestQueue;
 import org.baobabspindle.core.dispatch.TargetPool;
@@ -10,6 +11,7 @@
 import org.baobabspindle.core.fleet.AccountPolicy;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Route;
+import org.baobabspindle.core.id.PromptPart;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.http.Hashes;
@@ -179,6 +181,12 @@
         return RequestFingerprint.of(Hashes.sha256(content).substring(0, FINGERPRINT_DIGITS));
     }
 
+    /** Returns the parts of the prompt that other requests may share; empty if the request names none. */
+    List<PromptPart> sharedParts() {
+        return PromptPart.sharedParts(
+                request.getHeaders().get(context.headerNames().promptParts()));
+    }
+
     /** Returns the priority of the account if it has one, else that of the route; 0 is served first. */
     int priority() {
         Optional<AccountPolicy> account = account();
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -244,7 +244,12 @@
     private void recordBroken(Moment now) {
         context.quarantine()
                 .requestBroken(
-                        admission.fingerprint(), id(), target.orElseThrow().server(), now);
+                        admission.fingerprint(),
+                        admission.sharedParts(),
+                        callStarted,
+                        id(),
+                        target.orElseThrow().server(),
+                        now);
     }
 
     private String service() {
@@ -460,6 +465,7 @@
             "route", admission.route().map(Route::name).orElse(""),
             "service", pool.map(TargetPool::service).orElse(""),
             "model", pool.map(TargetPool::model).orElse(""),
+            "parts", admission.sharedParts(),
             "target", target.map(Target::key).orElse(""),
             "server", target.map(t -> t.server().id().value()).orElse(""),
             "runs", attempts,
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -16,6 +16,7 @@
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetService;
 import org.baobabspindle.core.fleet.Liveness;
+import org.baobabspindle.core.id.PromptPart;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
@@ -193,8 +194,17 @@
     /**
      * Records that a server broke a request. A server that is draining or not listed is shutting down as planned and is
      * not suspected.
+     *
+     * @param sharedParts the parts of its prompt that other requests may share
+     * @param answering whether the server had begun to answer the request
      */
-    void requestBroken(RequestFingerprint request, String requestId, BackendServer server, Moment now) {
+    void requestBroken(
+            RequestFingerprint request,
+            List<PromptPart> sharedParts,
+            boolean answering,
+            String requestId,
+            BackendServer server,
+            Moment now) {
         boolean serving = fleet.isServing(server.lifetime());
         log.write(
                 "broken-off",
@@ -203,6 +213,10 @@
                 requestId,
                 "fingerprint",
                 request,
+                "parts",
+                sharedParts,
+                "answering",
+                answering,
                 "server",
                 server.id(),
                 "born",
--- a/entry/src/main/java/org/baobabspindle/port/ForwardingHeaders.java
+++ b/entry/src/main/java/org/baobabspindle/port/ForwardingHeaders.java
@@ -17,6 +17,8 @@
  * @param serverStamp the signature of a backend server over its response
  * @param model the model of a generation
  * @param tokenCount the number of prompt tokens and the maximum number of generated tokens, separated by a comma
+ * @param promptParts the parts of the prompt of a generation in order, separated by commas, each an identifier, a colon
+ *     and a number of tokens; requests share parts except the last one, which belongs to one request or session
  * @param priority the priority of a generation from 0 (highest) to 9, set by the gateway for backend servers
  * @param lastEventId the id of the last event that the caller or the gateway has received
  * @param faultyServer set by an engine in an error response to the id of the backend server that caused the error
@@ -32,6 +34,7 @@
         String serverStamp,
         String model,
         String tokenCount,
+        String promptParts,
         String priority,
         String lastEventId,
         String faultyServer) {
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -57,6 +57,7 @@
             "Stamp",
             "Model",
             "Tokens",
+            "Parts",
             "Urgency",
             "Last-Event-Id",
             "Fault-At");
