--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
@@ -0,0 +1,183 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests requests, no two alike, that share a prompt part which crashes each server that begins to answer them. */
+class CrashingPromptPartTests extends GatewayTestSupport {
+    private static final int SERVERS = 14;
+
+    /** The number of crashes after which further requests with the part count against the budget of the users. */
+    private static final int MAX_CRASHES = 5;
+
+    /** The interval between two requests with the part. */
+    private static final Duration INTERVAL = Duration.ofMillis(700);
+
+    private static final String DEADLY = "dead";
+
+    private final AtomicInteger requests = new AtomicInteger();
+    private GatewayNode otherNode;
+    private FakePlatform otherPlatform;
+
+    @AfterEach
+    void shutDownOtherNode() throws Exception {
+        if (otherNode != null) {
+            otherNode.shutDown();
+        }
+    }
+
+    private void startServers() throws Exception {
+        RawBackend.Script script = (request, out, socket) -> {
+            if (RawBackend.header(request, "Parts").contains(DEADLY)) {
+                backends.stream()
+                        .filter(b -> b.port() == socket.getLocalPort())
+                        .findFirst()
+                        .orElseThrow()
+                        .crash();
+            } else {
+                RawBackend.write(out, plain(request, "done"));
+            }
+        };
+        start(Collections.nCopies(SERVERS, script).toArray(RawBackend.Script[]::new));
+    }
+
+    private void startOtherNode() throws Exception {
+        otherPlatform = new FakePlatform("other", platform);
+        otherNode = GatewayNode.open(otherPlatform);
+        await(() -> status(otherPlatform.readinessUrl()) == 200);
+        await(() -> knownEntries(platform) == 2 && knownEntries(otherPlatform) == 2);
+    }
+
+    private int knownEntries(FakePlatform entry) {
+        try {
+            HttpRequest ask =
+                    HttpRequest.newBuilder(URI.create(entry.directoryUrl())).build();
+            return http.send(ask, HttpResponse.BodyHandlers.ofString()).body().split(",").length;
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private HttpRequest request(FakePlatform entry, String path, String sharedParts) {
+        int number = requests.incrementAndGet();
+        return HttpRequest.newBuilder(URI.create(entry.callersUrl() + path + number))
+                .header("Id", "request" + number)
+                .header("Key", "a-key")
+                .header("Parts", sharedParts + ",own" + number + ":250")
+                .POST(HttpRequest.BodyPublishers.ofString("body" + number))
+                .build();
+    }
+
+    /** Sends a request and returns the status; a connection that breaks counts as 502. */
+    private int send(FakePlatform entry, String path, String sharedParts) throws InterruptedException {
+        try {
+            return http.send(request(entry, path, sharedParts), HttpResponse.BodyHandlers.ofString())
+                    .statusCode();
+        } catch (IOException e) {
+            return 502;
+        }
+    }
+
+    private int sendDeadly(FakePlatform entry, String path) throws InterruptedException {
+        return send(entry, path, "common:40," + DEADLY + ":210");
+    }
+
+    private int sendSound(FakePlatform entry) throws InterruptedException {
+        return send(entry, "/safe/", "common:40");
+    }
+
+    private int crashed() {
+        return (int) backends.stream().filter(RawBackend::crashed).count();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/", "/safe/", "/stream/"})
+    void newRequestsWithThePartCrashFewServers(String path) throws Exception {
+        startServers();
+        startOtherNode();
+        sendSound(platform);
+        sendSound(otherPlatform);
+        for (int i = 0; i < 10; i++) {
+            sendDeadly(i % 2 == 0 ? platform : otherPlatform, path);
+            Thread.sleep(INTERVAL.toMillis());
+        }
+        assertThat(crashed()).isAtMost(MAX_CRASHES);
+    }
+
+    @Test
+    void soundRequestsWithTheOtherPartsAreServed() throws Exception {
+        startServers();
+        startOtherNode();
+        for (int i = 0; i < 8; i++) {
+            FakePlatform entry = i % 2 == 0 ? platform : otherPlatform;
+            assertThat(sendSound(entry)).isEqualTo(200);
+            sendDeadly(entry, "/safe/");
+            assertThat(sendSound(entry)).isEqualTo(200);
+            Thread.sleep(INTERVAL.toMillis());
+        }
+        assertThat(crashed()).isAtMost(MAX_CRASHES);
+    }
+
+    @Test
+    void entryThatStartsLaterRefusesRequestsWithThePart() throws Exception {
+        startServers();
+        for (int i = 0; i < 3; i++) {
+            sendDeadly(platform, "/safe/");
+            Thread.sleep(INTERVAL.toMillis());
+        }
+        startOtherNode();
+        Thread.sleep(INTERVAL.toMillis());
+        for (int i = 0; i < 5; i++) {
+            sendDeadly(otherPlatform, "/safe/");
+            Thread.sleep(INTERVAL.toMillis());
+        }
+        assertThat(crashed()).isAtMost(MAX_CRASHES);
+    }
+
+    @Test
+    void concurrentRequestsWithThePartAreNotSentToSecondServers() throws Exception {
+        startServers();
+        int concurrent = 6;
+        CompletableFuture.allOf(IntStream.range(0, concurrent)
+                        .mapToObj(i -> http.sendAsync(
+                                        request(platform, "/safe/", "common:40," + DEADLY + ":210"),
+                                        HttpResponse.BodyHandlers.ofString())
+                                .exceptionally(e -> null))
+                        .toArray(CompletableFuture[]::new))
+                .join();
+        Thread.sleep(INTERVAL.toMillis());
+        for (int i = 0; i < 4; i++) {
+            sendDeadly(platform, "/safe/");
+        }
+        assertThat(crashed()).isAtMost(concurrent);
+    }
+
+    @Test
+    void refusalNamesTheTimeAfterWhichTheCallerMayRetry() throws Exception {
+        startServers();
+        for (int i = 0; i < 4; i++) {
+            sendDeadly(platform, "/safe/");
+            Thread.sleep(INTERVAL.toMillis());
+        }
+        HttpResponse<String> refusal = http.send(
+                request(platform, "/safe/", "common:40," + DEADLY + ":210"), HttpResponse.BodyHandlers.ofString());
+        assertThat(refusal.statusCode()).isEqualTo(503);
+        List<String> after = refusal.headers().allValues("Retry-After");
+        assertThat(after).hasSize(1);
+        assertThat(Double.parseDouble(after.get(0))).isGreaterThan(20);
+    }
+}
