--- a/core/src/main/java/org/baobabspindle/core/crash/Crash.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/Crash.java
@@ -1,24 +1,23 @@
 package org.baobabspindle.core.crash;
 
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.id.RequestFingerprint;
 
 /**
- * A crash of a backend server while it was running a request.
+ * A crash of a backend server and one of its possible causes.
  *
- * @param request the fingerprint of the request
+ * @param cause the possible cause: a request that the server was running, or a part of the prompt of one
  * @param server the lifetime of the backend server that crashed
  * @param failureDomain the failure domain of the server, whose servers can fail together
  */
-public record Crash(RequestFingerprint request, BackendServer.Lifetime server, String failureDomain) {
+public record Crash(CrashCause cause, BackendServer.Lifetime server, String failureDomain) {
     /**
      * Returns the crash of a backend server.
      *
-     * @param request the fingerprint of a request that it was running
+     * @param cause the possible cause
      * @param server the backend server
      * @return the crash
      */
-    static Crash of(RequestFingerprint request, BackendServer server) {
-        return new Crash(request, server.lifetime(), server.failureDomain());
+    static Crash of(CrashCause cause, BackendServer server) {
+        return new Crash(cause, server.lifetime(), server.failureDomain());
     }
 }
--- a/core/src/main/java/org/baobabspindle/core/crash/CrashDetector.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashDetector.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.Liveness;
-import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 
 /**
@@ -34,6 +33,12 @@
      */
     private static final int MAX_PROBES = 6;
 
+    /**
+     * How long an unresolved suspicion counts against a prompt part; a server that ends by itself is found out sooner, and
+     * harmless requests share the part.
+     */
+    private static final Duration PART_SUSPICION = Duration.ofSeconds(1);
+
     /** How long a suspicion is kept; by then a crashed server has restarted and is listed again. */
     private static final Duration SUSPICION_LIFETIME = Duration.ofSeconds(15);
 
@@ -47,7 +52,7 @@
 
     private static final class Suspicion {
         private final BackendServer server;
-        private final Map<RequestFingerprint, Moment> brokenAt = new LinkedHashMap<>();
+        private final Map<CrashCause, Moment> brokenAt = new LinkedHashMap<>();
         private Moment nextProbeAt;
         private int probes;
         private boolean corroborated;
@@ -59,7 +64,7 @@
 
         private Map<Crash, Moment> crashes() {
             Map<Crash, Moment> result = new LinkedHashMap<>();
-            brokenAt.forEach((request, at) -> result.put(Crash.of(request, server), at));
+            brokenAt.forEach((cause, at) -> result.put(Crash.of(cause, server), at));
             return result;
         }
     }
@@ -67,14 +72,14 @@
     /**
      * Records that a backend server broke off a request.
      *
-     * @param request the fingerprint of the request
+     * @param causes what in the request may have crashed the server
      * @param server the backend server
      * @param now the present time
      */
-    public void requestBroken(RequestFingerprint request, BackendServer server, Moment now) {
+    public void requestBroken(Collection<CrashCause> causes, BackendServer server, Moment now) {
         Suspicion suspicion =
                 suspicions.computeIfAbsent(server.lifetime(), l -> new Suspicion(server, now.plus(FIRST_PROBE_DELAY)));
-        suspicion.brokenAt.put(request, now);
+        causes.forEach(cause -> suspicion.brokenAt.put(cause, now));
         suspicion.corroborated = false;
     }
 
@@ -176,12 +181,12 @@
     }
 
     /**
-     * Records that a request was answered completely, which shows that it crashed no server.
+     * Records that a request was answered completely, which shows what crashed no server.
      *
-     * @param request the fingerprint of the request
+     * @param causes the causes that this excludes
      */
-    public void requestServed(RequestFingerprint request) {
-        suspicions.values().forEach(suspicion -> suspicion.brokenAt.remove(request));
+    public void requestServed(Collection<CrashCause> causes) {
+        suspicions.values().forEach(suspicion -> suspicion.brokenAt.keySet().removeAll(causes));
         suspicions.values().removeIf(suspicion -> suspicion.brokenAt.isEmpty());
     }
 
@@ -226,12 +231,15 @@
      * Returns the number of failure domains with a backend server that broke off a request and is proven neither to be
      * running nor to have crashed.
      *
-     * @param request the fingerprint of the request
+     * @param cause what in the request may have crashed the server
+     * @param now the present time
      * @return the number of failure domains
      */
-    public int unresolvedFailureDomains(RequestFingerprint request) {
+    public int unresolvedFailureDomains(CrashCause cause, Moment now) {
+        Duration counted = cause.isPromptPart() ? PART_SUSPICION : SUSPICION_LIFETIME;
         return (int) suspicions.values().stream()
-                .filter(suspicion -> suspicion.brokenAt.containsKey(request))
+                .filter(suspicion -> suspicion.brokenAt.containsKey(cause)
+                        && now.since(suspicion.brokenAt.get(cause)).compareTo(counted) <= 0)
                 .map(suspicion -> suspicion.server.failureDomain())
                 .distinct()
                 .count();
--- a/core/src/main/java/org/baobabspindle/core/crash/RequestQuarantine.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/RequestQuarantine.java
@@ -1,128 +1,90 @@
 package org.baobabspindle.core.crash;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
-import org.baobabspindle.core.id.RequestFingerprint;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.time.Moment;
 
 /**
- * Quarantines requests that crash servers. Counts the crashes under each request over all of its attempts and all
- * entries, because it is not known which of the many requests of a server caused its crash. Two crashes quarantine a
- * request for a short time and three for a long time; a complete answer shows that a request is harmless.
+ * Quarantines requests that crash servers. Counts the crashes under each possible cause, a request or a prompt part,
+ * over all attempts and all entries, because it is not known which of the many requests of a server caused its crash. A
+ * complete answer shows that its request and the parts of its prompt are harmless.
  */
 public final class RequestQuarantine {
     /**
      * The crashes that quarantine a request, for a short time only: another request of the same servers may be the
      * cause.
      */
-    public static final int QUARANTINE_CRASHES = 2;
+    private static final int REQUEST_CRASHES = 2;
+
+    /** The crashes that quarantine a prompt part without a recent answer; most parts have one. */
+    private static final int UNPROVEN_PART_CRASHES = 1;
 
     /** The crashes that rule out coincidence, unless they happened at about the same time. */
     private static final int CONFIRMING_CRASHES = 3;
 
-    /**
-     * Servers of one failure domain that crash within this time count as one crash. A stream may be resumed at another
-     * server of a rack that is just losing power, while a request takes longer than this to crash a server by itself.
-     */
-    private static final Duration SAME_DOMAIN_WINDOW = Duration.ofMillis(100);
+    /** How long before its first crash an answer shows that a prompt part was harmless. */
+    private static final Duration PART_PROOF_LIFETIME = Duration.ofMinutes(1);
 
     /**
      * Crashes within a shorter time span rule out nothing; a frequent request may be running on many of the servers.
      */
     private static final Duration MIN_CRASH_SPAN = Duration.ofSeconds(1);
 
-    /** The quarantine of a request whose crashes may be a coincidence; longer than a caller waits. */
+    /** The quarantine of a cause whose crashes may be a coincidence; longer than a caller waits. */
     private static final Duration SHORT_QUARANTINE = Duration.ofSeconds(30);
 
-    /** How long a crash counts, which is also the quarantine of a request that certainly causes crashes. */
-    private static final Duration CRASH_LIFETIME = Duration.ofMinutes(10);
-
     /** The interval at which one entry retries a request after a short quarantine; by then the outcome is broadcast. */
     private static final Duration TRIAL_INTERVAL = Duration.ofSeconds(1);
 
-    /**
-     * The maximum number of tracked requests; reached only after several hundred servers have crashed in ten minutes.
-     */
-    private static final int MAX_REQUESTS = 5_000;
+    /** The maximum number of tracked causes; reached only after several hundred servers have crashed in ten minutes. */
+    private static final int MAX_CAUSES = 5_000;
 
-    private final Map<RequestFingerprint, History> histories = new LinkedHashMap<>();
+    private final Map<CrashCause, CrashHistory> histories = new LinkedHashMap<>();
+    private final ServedParts servedParts = new ServedParts();
 
     /** Creates a quarantine without crashes. */
     public RequestQuarantine() {}
 
-    private static final class History {
-        private final Map<Crash, Moment> crashes = new HashMap<>();
-        private Optional<Moment> servedAt = Optional.empty();
-        private Optional<Moment> lastTrialAt = Optional.empty();
-
-        private boolean isRecent(Moment at, Moment now) {
-            return now.monotonicMillisSince(at) < CRASH_LIFETIME.toMillis()
-                    && (servedAt.isEmpty() || servedAt.get().isBefore(at));
-        }
-
-        /** Returns the times of the crashes that count, in ascending order. */
-        private List<Moment> countedCrashes(Moment now) {
-            List<Map.Entry<Crash, Moment>> recent = crashes.entrySet().stream()
-                    .filter(e -> isRecent(e.getValue(), now))
-                    .sorted(Comparator.comparingLong(e -> e.getValue().monotonicNanos()))
-                    .toList();
-            Map<String, Moment> lastCounted = new HashMap<>();
-            List<Moment> result = new ArrayList<>();
-            for (Map.Entry<Crash, Moment> e : recent) {
-                Moment at = e.getValue();
-                String domain = e.getKey().failureDomain();
-                Moment before = lastCounted.get(domain);
-                if (before == null || at.monotonicMillisSince(before) >= SAME_DOMAIN_WINDOW.toMillis()) {
-                    lastCounted.put(domain, at);
-                    result.add(at);
-                }
-            }
-            return result;
-        }
-
-        private boolean isExpired(Moment now) {
-            boolean answerExpired =
-                    servedAt.isEmpty() || now.monotonicMillisSince(servedAt.get()) >= CRASH_LIFETIME.toMillis();
-            return answerExpired && countedCrashes(now).isEmpty();
-        }
-    }
-
     /**
      * Records a crash.
      *
      * @param crash the crash
      * @param at when the server broke the request off
      * @param now the present time
-     * @return whether this crash starts the quarantine of the request
+     * @return whether this crash starts the quarantine of its cause
      */
     public boolean recordCrash(Crash crash, Moment at, Moment now) {
-        boolean before = isQuarantined(crash.request(), now);
-        history(crash.request()).crashes.putIfAbsent(crash, at);
-        return !before && isQuarantined(crash.request(), now);
+        boolean before = isBlamed(crash.cause(), now);
+        history(crash.cause()).crashed(crash, at);
+        return !before && isBlamed(crash.cause(), now);
     }
 
     /**
-     * Records that a request was answered completely, which shows that it caused no earlier crash.
+     * Records a complete answer, which shows that a cause brought about no earlier crash.
      *
-     * @param request the fingerprint of the request
+     * @param cause the request that was answered, or a part of its prompt
      * @param at when it was answered
      * @param now the present time
-     * @return whether crashes had counted against the request until now
+     * @return whether crashes had counted against the cause until now
      */
-    public boolean recordSuccess(RequestFingerprint request, Moment at, Moment now) {
-        if (crashCount(request, now) == 0) {
-            return false;
+    public boolean recordSuccess(CrashCause cause, Moment at, Moment now) {
+        boolean counted = crashCount(cause, now) > 0;
+        if (cause.isPromptPart()) {
+            servedParts.record(cause, at);
+            Optional.ofNullable(histories.get(cause)).ifPresent(h -> h.served(at));
+        } else if (counted) {
+            history(cause).served(at);
         }
-        History h = history(request);
-        h.servedAt = h.servedAt.filter(s -> !s.isBefore(at)).or(() -> Optional.of(at));
-        return true;
+        return counted;
     }
 
     /**
@@ -134,115 +96,216 @@
         histories.values().removeIf(h -> h.isExpired(now));
     }
 
-    private History history(RequestFingerprint request) {
-        History h = histories.computeIfAbsent(request, r -> new History());
-        if (histories.size() > MAX_REQUESTS) {
+    private CrashHistory history(CrashCause cause) {
+        CrashHistory h = histories.computeIfAbsent(cause, c -> new CrashHistory(servedParts.lastServed(c)));
+        if (histories.size() > MAX_CAUSES) {
             histories.remove(histories.keySet().iterator().next());
         }
         return h;
     }
 
     /**
-     * Returns the number of crashes that count against a request.
+     * Returns the number of crashes that count against a cause.
      *
-     * @param request the fingerprint of the request
+     * @param cause the cause
      * @param now the present time
      * @return the number of crashes
      */
-    public int crashCount(RequestFingerprint request, Moment now) {
-        History h = histories.get(request);
-        return h == null ? 0 : h.countedCrashes(now).size();
+    public int crashCount(CrashCause cause, Moment now) {
+        return countedCrashes(cause, Set.of(), now).size();
+    }
+
+    private List<Moment> countedCrashes(CrashCause cause, Set<BackendServer.Lifetime> excused, Moment now) {
+        CrashHistory h = histories.get(cause);
+        return h == null ? List.of() : h.countedCrashes(excused, now);
+    }
+
+    /** Returns whether a cause has enough crashes for a quarantine, if nothing else explains them. */
+    private boolean isBlamed(CrashCause cause, Moment now) {
+        List<Moment> crashes = countedCrashes(cause, Set.of(), now);
+        return crashes.size() >= requiredCrashes(cause, crashes, now);
+    }
+
+    private int requiredCrashes(CrashCause cause, List<Moment> crashes, Moment now) {
+        if (!cause.isPromptPart()) {
+            return REQUEST_CRASHES;
+        }
+        CrashHistory h = histories.get(cause);
+        Optional<Moment> servedAt = h == null ? servedParts.lastServed(cause) : h.servedAt();
+        Moment firstCrash = crashes.isEmpty() ? now : crashes.get(0);
+        boolean proven = servedAt.filter(at -> firstCrash.monotonicMillisSince(at) <= PART_PROOF_LIFETIME.toMillis())
+                .isPresent();
+        return proven ? CONFIRMING_CRASHES : UNPROVEN_PART_CRASHES;
+    }
+
+    /** How a prompt part that a request does not contain relates to the crashes of a cause in it. */
+    private enum Explanation {
+        /** It had no part in them, or in some only. */
+        NONE,
+        /** The same crashes count against both, so that one of them is harmless. */
+        SAME_CRASHES,
+        /** All of them, and further ones, count against the other part. */
+        COMPLETE;
+
+        static Explanation of(Set<BackendServer.Lifetime> crashed, Set<BackendServer.Lifetime> otherCrashed) {
+            if (!otherCrashed.containsAll(crashed)) {
+                return NONE;
+            }
+            return otherCrashed.size() > crashed.size() ? COMPLETE : SAME_CRASHES;
+        }
     }
 
-    private boolean isQuarantined(RequestFingerprint request, Moment now) {
-        return crashCount(request, now) >= QUARANTINE_CRASHES;
+    /** Returns the servers that crashed under each blamed prompt part that a request does not contain. */
+    private List<Set<BackendServer.Lifetime>> crashedUnderOtherParts(SuspectRequest request, Moment now) {
+        List<CrashCause> own = request.causes();
+        return histories.entrySet().stream()
+                .filter(e -> e.getKey().isPromptPart() && !own.contains(e.getKey()) && isBlamed(e.getKey(), now))
+                .map(e -> e.getValue().crashedServers(now))
+                .toList();
     }
 
     /**
      * Returns the delay after which a quarantined request may be retried.
      *
-     * @param request the fingerprint of the request
-     * @param unresolved the number of failure domains with a server that broke it off and is not yet known to run or to
-     *     have crashed
-     * @param retriesHere whether this entry is the one that retries the request after a short quarantine
+     * @param request the request
+     * @param unresolved returns the number of failure domains with a server that broke off a request with a cause and is
+     *     not yet known to run or to have crashed
+     * @param retriesHere returns whether this entry is the one that retries a cause after a short quarantine
      * @param now the present time
      * @return the delay; empty if the request may be sent to a server now
      */
     public Optional<Duration> quarantinedFor(
-            RequestFingerprint request, int unresolved, BooleanSupplier retriesHere, Moment now) {
-        History h = histories.get(request);
-        List<Moment> crashes = h == null ? List.of() : h.countedCrashes(now);
-        if (crashes.size() + unresolved < QUARANTINE_CRASHES) {
-            return Optional.empty();
+            SuspectRequest request,
+            ToIntFunction<CrashCause> unresolved,
+            Predicate<CrashCause> retriesHere,
+            Moment now) {
+        Duration longest = Duration.ZERO;
+        for (CrashCause cause : request.causes()) {
+            int pending = unresolved.applyAsInt(cause);
+            if (pending == 0 && !histories.containsKey(cause)) {
+                continue;
+            }
+            Duration wait = cause.isPromptPart()
+                    ? partQuarantine(cause, request, pending, retriesHere, now)
+                    : requestQuarantine(cause, request, pending, retriesHere, now);
+            longest = longest.compareTo(wait) < 0 ? wait : longest;
         }
-        if (unresolved > 0) {
-            return Optional.of(TRIAL_INTERVAL);
+        return longest.isZero() ? Optional.empty() : Optional.of(longest);
+    }
+
+    /** A crash has one cause: those that a part with several crashes explains do not count against a request. */
+    private Duration requestQuarantine(
+            CrashCause cause, SuspectRequest request, int pending, Predicate<CrashCause> retriesHere, Moment now) {
+        Set<BackendServer.Lifetime> explained = crashedUnderOtherParts(request, now).stream()
+                .filter(servers -> servers.size() >= REQUEST_CRASHES)
+                .flatMap(Set::stream)
+                .collect(Collectors.toSet());
+        List<Moment> crashes = countedCrashes(cause, explained, now);
+        if (crashes.size() + pending < REQUEST_CRASHES) {
+            return Duration.ZERO;
         }
+        return pending > 0 ? TRIAL_INTERVAL : remaining(cause, crashes, retriesHere, now);
+    }
+
+    private Duration partQuarantine(
+            CrashCause part, SuspectRequest request, int pending, Predicate<CrashCause> retriesHere, Moment now) {
+        List<Moment> crashes = countedCrashes(part, Set.of(), now);
+        if (crashes.size() + pending < requiredCrashes(part, crashes, now)) {
+            return Duration.ZERO;
+        }
+        if (pending > 0) {
+            return TRIAL_INTERVAL;
+        }
+        Set<BackendServer.Lifetime> crashed = histories.get(part).crashedServers(now);
+        Explanation explanation = crashedUnderOtherParts(request, now).stream()
+                .map(other -> Explanation.of(crashed, other))
+                .max(Comparator.naturalOrder())
+                .orElse(Explanation.NONE);
+        return switch (explanation) {
+            case COMPLETE -> Duration.ZERO;
+            case SAME_CRASHES -> untilTrial(part, retriesHere, now);
+            case NONE -> remaining(part, crashes, retriesHere, now);
+        };
+    }
+
+    private Duration remaining(CrashCause cause, List<Moment> crashes, Predicate<CrashCause> retriesHere, Moment now) {
         Moment last = crashes.get(crashes.size() - 1);
         long span = last.monotonicMillisSince(crashes.get(0));
         boolean certain = crashes.size() >= CONFIRMING_CRASHES && span >= MIN_CRASH_SPAN.toMillis();
-        long left = (certain ? CRASH_LIFETIME : SHORT_QUARANTINE).toMillis() - now.monotonicMillisSince(last);
-        long untilTrial = h.lastTrialAt
+        Duration quarantine = certain ? CrashHistory.CRASH_LIFETIME : SHORT_QUARANTINE;
+        long left = quarantine.toMillis() - now.monotonicMillisSince(last);
+        if (left > 0) {
+            return Duration.ofMillis(left);
+        }
+        return untilTrial(cause, retriesHere, now);
+    }
+
+    private Duration untilTrial(CrashCause cause, Predicate<CrashCause> retriesHere, Moment now) {
+        if (!retriesHere.test(cause)) {
+            return TRIAL_INTERVAL;
+        }
+        long left = histories
+                .get(cause)
+                .lastTrialAt()
                 .map(t -> TRIAL_INTERVAL.toMillis() - now.monotonicMillisSince(t))
                 .orElse(0L);
-        long wait = left > 0 ? left : retriesHere.getAsBoolean() ? untilTrial : TRIAL_INTERVAL.toMillis();
-        return wait > 0 ? Optional.of(Duration.ofMillis(wait)) : Optional.empty();
+        return Duration.ofMillis(Math.max(0, left));
     }
 
     /**
      * Records that a request is sent to a server.
      *
-     * @param request the fingerprint of the request
+     * @param request the request
      * @param now the present time
      */
-    public void recordAttempt(RequestFingerprint request, Moment now) {
-        if (crashCount(request, now) >= QUARANTINE_CRASHES) {
-            histories.get(request).lastTrialAt = Optional.of(now);
+    public void recordAttempt(SuspectRequest request, Moment now) {
+        for (CrashCause cause : request.causes()) {
+            if (isBlamed(cause, now)) {
+                histories.get(cause).tried(now);
+            }
         }
     }
 
     /**
-     * Returns the crashes of the quarantined requests.
+     * Returns the crashes of the causes that other entries must know: those of prompt parts, and of requests with
+     * enough crashes for a quarantine.
      *
      * @param now the present time
      * @return the crashes and when each happened
      */
-    public Map<Crash, Moment> quarantinedCrashes(Moment now) {
+    public Map<Crash, Moment> sharedCrashes(Moment now) {
         Map<Crash, Moment> result = new LinkedHashMap<>();
-        for (History h : histories.values()) {
-            if (h.crashes.size() >= QUARANTINE_CRASHES && h.countedCrashes(now).size() >= QUARANTINE_CRASHES) {
-                h.crashes.forEach((crash, at) -> {
-                    if (h.isRecent(at, now)) {
-                        result.put(crash, at);
-                    }
-                });
+        histories.forEach((cause, h) -> {
+            int required = cause.isPromptPart() ? UNPROVEN_PART_CRASHES : REQUEST_CRASHES;
+            if (h.countedCrashes(Set.of(), now).size() >= required) {
+                result.putAll(h.recentCrashes(now));
             }
-        }
+        });
         return result;
     }
 
     /**
-     * Returns a digest that is equal for two objects that quarantine the same requests because of the same crashes, and
-     * almost certainly different otherwise.
+     * Returns a digest that is equal for two objects that share the same crashes, and almost certainly different
+     * otherwise.
      *
      * @param now the present time
-     * @return the digest; 0 if no request is quarantined
+     * @return the digest; 0 if there is nothing to share
      */
     public long digest(Moment now) {
-        return quarantinedCrashes(now).keySet().stream()
+        return sharedCrashes(now).keySet().stream()
                 .mapToLong(RequestQuarantine::hash)
                 .sum();
     }
 
     private static long hash(Crash c) {
-        long text = 31L * c.request().hashCode() + c.server().id().hashCode();
+        long text = 31L * c.cause().value().hashCode() + c.server().id().hashCode();
         return (text ^ c.server().bornMillis()) * 0x9E3779B97F4A7C15L;
     }
 
     /**
-     * Returns whether no request is tracked.
+     * Returns whether no cause is tracked.
      *
-     * @return whether there is no history of a request
+     * @return whether there is no history of a cause
      */
     public boolean isEmpty() {
         return histories.isEmpty();
--- a/core/src/test/java/org/baobabspindle/core/crash/CrashDetectorTests.java
+++ b/core/src/test/java/org/baobabspindle/core/crash/CrashDetectorTests.java
@@ -10,6 +10,7 @@
 import org.baobabspindle.core.fleet.ServerState;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.id.PromptPart;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.junit.jupiter.api.Nested;
@@ -17,8 +18,8 @@
 
 /** Tests the distinction between servers that have crashed and servers that have only lost an answer. */
 class CrashDetectorTests {
-    private static final RequestFingerprint REQUEST = RequestFingerprint.of("a");
-    private static final RequestFingerprint OTHER = RequestFingerprint.of("b");
+    private static final CrashCause REQUEST = CrashCause.of(RequestFingerprint.of("a"));
+    private static final CrashCause OTHER = CrashCause.of(RequestFingerprint.of("b"));
     private static final BackendServer SERVER = server("s1", 7001, 1_000);
 
     private static final BackendServer.Lifetime OTHER_SERVER =
@@ -50,7 +51,7 @@
     class Probing {
         @Test
         void probesAServerAfterAnInitialDelay() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.dueProbes(at(149))).isEmpty();
             assertThat(detector.dueProbes(at(150))).containsExactly(SERVER);
             assertThat(detector.dueProbes(at(151))).isEmpty();
@@ -58,7 +59,7 @@
 
         @Test
         void probesAnUnresponsiveServerSixTimes() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             int probes = 0;
             for (int t = 0; t < 14_000; t += 50) {
                 for (BackendServer s : detector.dueProbes(at(t))) {
@@ -67,12 +68,12 @@
                 }
             }
             assertThat(probes).isEqualTo(6);
-            assertThat(detector.unresolvedFailureDomains(REQUEST)).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
         }
 
         @Test
         void unresolvedSuspicionExpires() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             detector.dueProbes(at(15_001));
             assertThat(detector.isEmpty()).isTrue();
         }
@@ -82,8 +83,8 @@
     class Resolution {
         @Test
         void reportsACrashForEachRequestThatATerminatedServerBrokeOff() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
-            detector.requestBroken(OTHER, SERVER, at(1));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
+            detector.requestBroken(List.of(OTHER), SERVER, at(1));
             detector.answerReceived(OTHER_SERVER, at(120));
             assertThat(detector.probeCompleted(SERVER.lifetime(), Liveness.ENDED, at(150)))
                     .containsExactly(Crash.of(REQUEST, SERVER), at(0), Crash.of(OTHER, SERVER), at(1));
@@ -93,29 +94,29 @@
         /** The connections of an entry that is disconnected itself may be refused, too. */
         @Test
         void reportsNoCrashWithoutCorroboration() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             detector.answerReceived(OTHER_SERVER, at(90));
             assertThat(detector.isCorroborated(SERVER.lifetime())).isFalse();
             assertThat(detector.probeCompleted(SERVER.lifetime(), Liveness.ENDED, at(150)))
                     .isEmpty();
-            assertThat(detector.unresolvedFailureDomains(REQUEST)).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
         }
 
         @Test
         void crashedServersAreNotCorroborationCandidates() {
             BackendServer crashed = server("s3", 7003, 1);
             BackendServer healthy = server("s4", 7004, 1);
-            detector.requestBroken(OTHER, crashed, at(0));
+            detector.requestBroken(List.of(OTHER), crashed, at(0));
             detector.answerReceived(OTHER_SERVER, at(120));
             detector.probeCompleted(crashed.lifetime(), Liveness.ENDED, at(150));
-            detector.requestBroken(REQUEST, SERVER, at(200));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(200));
             assertThat(detector.corroborationCandidates(SERVER, List.of(SERVER, crashed, healthy)))
                     .containsExactly(healthy);
         }
 
         @Test
         void runningServerEndsTheSuspicion() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.probeCompleted(SERVER.lifetime(), Liveness.RUNNING, at(150)))
                     .isEmpty();
             assertThat(detector.isEmpty()).isTrue();
@@ -123,27 +124,27 @@
 
         @Test
         void probesAgainForARequestBrokenAfterTheProbeWasSent() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.dueProbes(at(150))).hasSize(1);
-            detector.requestBroken(OTHER, SERVER, at(160));
+            detector.requestBroken(List.of(OTHER), SERVER, at(160));
             detector.probeCompleted(SERVER.lifetime(), Liveness.RUNNING, at(150));
-            assertThat(detector.unresolvedFailureDomains(REQUEST)).isEqualTo(0);
-            assertThat(detector.unresolvedFailureDomains(OTHER)).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(0);
+            assertThat(detector.unresolvedFailureDomains(OTHER, at(14_000))).isEqualTo(1);
             assertThat(detector.dueProbes(at(350))).containsExactly(SERVER);
         }
 
         @Test
         void laterDataOfTheServerEndsTheSuspicion() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             detector.answerReceived(SERVER.lifetime(), at(120));
             assertThat(detector.isEmpty()).isTrue();
         }
 
         @Test
         void reportsNoCrashForARequestThatWasServed() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
-            detector.requestBroken(OTHER, SERVER, at(0));
-            detector.requestServed(REQUEST);
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
+            detector.requestBroken(List.of(OTHER), SERVER, at(0));
+            detector.requestServed(List.of(REQUEST));
             detector.answerReceived(OTHER_SERVER, at(120));
             assertThat(detector.probeCompleted(SERVER.lifetime(), Liveness.ENDED, at(150)))
                     .containsExactly(Crash.of(OTHER, SERVER), at(0));
@@ -151,9 +152,9 @@
 
         @Test
         void dataSentBeforeTheBreakDoesNotEndTheSuspicion() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             detector.answerReceived(SERVER.lifetime(), at(80));
-            assertThat(detector.unresolvedFailureDomains(REQUEST)).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
         }
     }
 
@@ -161,31 +162,40 @@
     class ServerList {
         @Test
         void laterLifetimeWithTheSameIdProvesACrash() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.serversListed(List.of(server("s1", 7001, 4_000))))
                     .containsExactly(Crash.of(REQUEST, SERVER), at(0));
         }
 
         @Test
         void laterServerAtTheSameAddressProvesACrash() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.serversListed(List.of(server("s9", 7001, 4_000))))
                     .hasSize(1);
         }
 
         @Test
         void missingServerDoesNotProveACrash() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.serversListed(List.of(server("s2", 7002, 4_000))))
                     .isEmpty();
-            assertThat(detector.unresolvedFailureDomains(REQUEST)).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
         }
 
         @Test
         void earlierServerAtTheSameAddressDoesNotProveACrash() {
-            detector.requestBroken(REQUEST, SERVER, at(0));
+            detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.serversListed(List.of(server("s0", 7001, 500), SERVER)))
                     .isEmpty();
         }
     }
+
+    @Test
+    void silentServerCountsAgainstAPromptPartForOneSecond() {
+        CrashCause part = CrashCause.of(PromptPart.of("p"));
+        detector.requestBroken(List.of(REQUEST, part), SERVER, at(0));
+        assertThat(detector.unresolvedFailureDomains(part, at(1_000))).isEqualTo(1);
+        assertThat(detector.unresolvedFailureDomains(part, at(1_001))).isEqualTo(0);
+        assertThat(detector.unresolvedFailureDomains(REQUEST, at(1_001))).isEqualTo(1);
+    }
 }
--- a/core/src/test/java/org/baobabspindle/core/crash/RequestQuarantineTests.java
+++ b/core/src/test/java/org/baobabspindle/core/crash/RequestQuarantineTests.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.id.PromptPart;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.junit.jupiter.api.Nested;
@@ -13,7 +15,8 @@
 
 /** Tests requests that crash servers, and harmless requests that were running on the same servers. */
 class RequestQuarantineTests {
-    private static final RequestFingerprint REQUEST = RequestFingerprint.of("a");
+    private static final SuspectRequest REQUEST = request("a");
+    private static final CrashCause CAUSE = CrashCause.of(REQUEST.fingerprint());
     private static final long MINUTE = 60_000;
 
     private final RequestQuarantine quarantine = new RequestQuarantine();
@@ -22,20 +25,26 @@
         return new Moment(0, 0).plus(Duration.ofMillis(millis));
     }
 
-    private static Crash crash(RequestFingerprint request, int server) {
-        return crash(request, server, "d" + server);
+    private static SuspectRequest request(String fingerprint, String... sharedParts) {
+        return new SuspectRequest(
+                RequestFingerprint.of(fingerprint),
+                Stream.of(sharedParts).map(PromptPart::of).toList());
     }
 
-    private static Crash crash(RequestFingerprint request, int server, String domain) {
-        return new Crash(request, new BackendServer.Lifetime(InstanceId.of("s" + server), 1), domain);
+    private static Crash crash(CrashCause cause, int server) {
+        return crash(cause, server, "d" + server);
+    }
+
+    private static Crash crash(CrashCause cause, int server, String domain) {
+        return new Crash(cause, new BackendServer.Lifetime(InstanceId.of("s" + server), 1), domain);
     }
 
     private boolean recordCrash(int server, long millis) {
-        return quarantine.recordCrash(crash(REQUEST, server), at(millis), at(millis));
+        return quarantine.recordCrash(crash(CAUSE, server), at(millis), at(millis));
     }
 
     private Optional<Duration> remaining(int unresolved, long millis) {
-        return quarantine.quarantinedFor(REQUEST, unresolved, () -> true, at(millis));
+        return quarantine.quarantinedFor(REQUEST, c -> unresolved, c -> true, at(millis));
     }
 
     private static Optional<Duration> millis(long millis) {
@@ -65,20 +74,20 @@
         /** A stream may be resumed at a server of the same domain that is about to crash for the same reason. */
         @Test
         void simultaneousCrashesInOneDomainCountOnce() {
-            quarantine.recordCrash(crash(REQUEST, 1, "d1"), at(0), at(0));
-            quarantine.recordCrash(crash(REQUEST, 2, "d1"), at(40), at(40));
-            quarantine.recordCrash(crash(REQUEST, 3, "d1"), at(80), at(80));
+            quarantine.recordCrash(crash(CAUSE, 1, "d1"), at(0), at(0));
+            quarantine.recordCrash(crash(CAUSE, 2, "d1"), at(40), at(40));
+            quarantine.recordCrash(crash(CAUSE, 3, "d1"), at(80), at(80));
             assertThat(remaining(0, 80)).isEqualTo(Optional.empty());
-            quarantine.recordCrash(crash(REQUEST, 4, "d1"), at(200), at(200));
+            quarantine.recordCrash(crash(CAUSE, 4, "d1"), at(200), at(200));
             assertThat(remaining(0, 200).isPresent()).isTrue();
         }
 
         @Test
         void successiveCrashesInOneDomainCountOnceForEachWindow() {
             for (int server = 1; server <= 4; server++) {
-                quarantine.recordCrash(crash(REQUEST, server, "d1"), at(server * 60L), at(server * 60L));
+                quarantine.recordCrash(crash(CAUSE, server, "d1"), at(server * 60L), at(server * 60L));
             }
-            assertThat(quarantine.crashCount(REQUEST, at(300))).isEqualTo(2);
+            assertThat(quarantine.crashCount(CAUSE, at(300))).isEqualTo(2);
         }
 
         /** A frequent request may be running on several servers that crash for another reason. */
@@ -105,11 +114,11 @@
         void onlyOneEntryRetriesAfterAShortQuarantine() {
             recordCrash(1, 0);
             recordCrash(2, 5_000);
-            assertThat(quarantine.quarantinedFor(REQUEST, 0, () -> true, at(35_000)))
+            assertThat(quarantine.quarantinedFor(REQUEST, c -> 0, c -> true, at(35_000)))
                     .isEqualTo(Optional.empty());
-            assertThat(quarantine.quarantinedFor(REQUEST, 0, () -> false, at(35_000)))
+            assertThat(quarantine.quarantinedFor(REQUEST, c -> 0, c -> false, at(35_000)))
                     .isEqualTo(millis(1_000));
-            assertThat(quarantine.quarantinedFor(RequestFingerprint.of("b"), 0, () -> false, at(35_000)))
+            assertThat(quarantine.quarantinedFor(request("b"), c -> 0, c -> false, at(35_000)))
                     .isEqualTo(Optional.empty());
         }
 
@@ -118,16 +127,16 @@
             for (int i = 0; i < 5; i++) {
                 recordCrash(1, i);
             }
-            assertThat(quarantine.crashCount(REQUEST, at(5))).isEqualTo(1);
+            assertThat(quarantine.crashCount(CAUSE, at(5))).isEqualTo(1);
         }
 
         @Test
         void unresolvedFailureDomainsCountAsCrashes() {
             recordCrash(1, 0);
             assertThat(remaining(1, 1)).isEqualTo(millis(1_000));
-            assertThat(quarantine.quarantinedFor(RequestFingerprint.of("b"), 2, () -> true, at(1)))
+            assertThat(quarantine.quarantinedFor(request("b"), c -> 2, c -> true, at(1)))
                     .isEqualTo(millis(1_000));
-            assertThat(quarantine.quarantinedFor(RequestFingerprint.of("b"), 1, () -> true, at(1)))
+            assertThat(quarantine.quarantinedFor(request("b"), c -> 1, c -> true, at(1)))
                     .isEqualTo(Optional.empty());
         }
 
@@ -137,7 +146,9 @@
             recordCrash(2, 0);
             Moment jumped =
                     new Moment(at(10).monotonicNanos(), Duration.ofHours(1).toMillis());
-            assertThat(quarantine.quarantinedFor(REQUEST, 0, () -> true, jumped).isPresent())
+            assertThat(quarantine
+                            .quarantinedFor(REQUEST, c -> 0, c -> true, jumped)
+                            .isPresent())
                     .isTrue();
         }
     }
@@ -147,22 +158,22 @@
         @Test
         void completeAnswerClearsEarlierCrashes() {
             recordCrash(1, 0);
-            assertThat(quarantine.recordSuccess(REQUEST, at(2), at(2))).isTrue();
+            assertThat(quarantine.recordSuccess(CAUSE, at(2), at(2))).isTrue();
             assertThat(recordCrash(2, 3)).isFalse();
-            assertThat(quarantine.crashCount(REQUEST, at(3))).isEqualTo(1);
+            assertThat(quarantine.crashCount(CAUSE, at(3))).isEqualTo(1);
         }
 
         @Test
         void ignoresACrashBeforeTheAnswerThatIsReportedLater() {
             recordCrash(1, 10);
-            quarantine.recordSuccess(REQUEST, at(20), at(20));
-            quarantine.recordCrash(crash(REQUEST, 2), at(15), at(30));
-            assertThat(quarantine.crashCount(REQUEST, at(30))).isEqualTo(0);
+            quarantine.recordSuccess(CAUSE, at(20), at(20));
+            quarantine.recordCrash(crash(CAUSE, 2), at(15), at(30));
+            assertThat(quarantine.crashCount(CAUSE, at(30))).isEqualTo(0);
         }
 
         @Test
         void answerToARequestWithoutCrashesChangesNothing() {
-            assertThat(quarantine.recordSuccess(REQUEST, at(0), at(0))).isFalse();
+            assertThat(quarantine.recordSuccess(CAUSE, at(0), at(0))).isFalse();
             assertThat(quarantine.isEmpty()).isTrue();
         }
 
@@ -175,14 +186,156 @@
             for (int server = 1; server <= 3; server++) {
                 recordCrash(server, server);
                 for (int i = 0; i < 11; i++) {
-                    RequestFingerprint concurrent = RequestFingerprint.of("s" + server + "r" + i);
-                    quarantine.recordCrash(crash(concurrent, server), at(server), at(server));
-                    assertThat(quarantine.quarantinedFor(concurrent, 0, () -> true, at(server)))
+                    SuspectRequest concurrent = request("s" + server + "r" + i);
+                    quarantine.recordCrash(
+                            crash(CrashCause.of(concurrent.fingerprint()), server), at(server), at(server));
+                    assertThat(quarantine.quarantinedFor(concurrent, c -> 0, c -> true, at(server)))
                             .isEqualTo(Optional.empty());
                 }
             }
-            assertThat(quarantine.quarantinedCrashes(at(4)).keySet())
-                    .containsExactly(crash(REQUEST, 1), crash(REQUEST, 2), crash(REQUEST, 3));
+            assertThat(quarantine.sharedCrashes(at(4)).keySet())
+                    .containsExactly(crash(CAUSE, 1), crash(CAUSE, 2), crash(CAUSE, 3));
+        }
+    }
+
+    @Nested
+    class PromptParts {
+        private static final CrashCause DEADLY = CrashCause.of(PromptPart.of("deadly"));
+        private static final CrashCause COMMON = CrashCause.of(PromptPart.of("common"));
+
+        private int requests;
+
+        private void crash(CrashCause part, int server, long millis) {
+            quarantine.recordCrash(RequestQuarantineTests.crash(part, server), at(millis), at(millis));
+        }
+
+        private void served(CrashCause part, long millis) {
+            quarantine.recordSuccess(part, at(millis), at(millis));
+        }
+
+        private Optional<Duration> remaining(long millis, String... parts) {
+            return remaining(true, millis, parts);
+        }
+
+        private Optional<Duration> remaining(boolean retriesHere, long millis, String... parts) {
+            return quarantine.quarantinedFor(request("new" + requests++, parts), c -> 0, c -> retriesHere, at(millis));
+        }
+
+        @Test
+        void firstCrashQuarantinesAPartWithoutAnAnswer() {
+            crash(DEADLY, 1, 0);
+            assertThat(remaining(0, "deadly")).isEqualTo(millis(30_000));
+            assertThat(remaining(0, "other")).isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void thirdCrashQuarantinesAPartForTenMinutes() {
+            crash(DEADLY, 1, 0);
+            crash(DEADLY, 2, 500);
+            crash(DEADLY, 3, 31_000);
+            assertThat(remaining(31_000, "deadly")).isEqualTo(millis(10 * MINUTE));
+        }
+
+        @Test
+        void partWithARecentAnswerIsQuarantinedByTheThirdCrashOnly() {
+            served(COMMON, 0);
+            crash(COMMON, 1, 10_000);
+            crash(COMMON, 2, 10_700);
+            assertThat(remaining(10_700, "common")).isEqualTo(Optional.empty());
+            crash(COMMON, 3, 11_400);
+            assertThat(remaining(11_400, "common")).isEqualTo(millis(10 * MINUTE));
+        }
+
+        @Test
+        void answerOfLongAgoDoesNotProtectAPart() {
+            served(DEADLY, 0);
+            crash(DEADLY, 1, 2 * MINUTE);
+            assertThat(remaining(2 * MINUTE, "deadly").isPresent()).isTrue();
+        }
+
+        @Test
+        void answerAfterACrashReleasesAPart() {
+            crash(COMMON, 1, 0);
+            assertThat(quarantine.recordSuccess(COMMON, at(300), at(300))).isTrue();
+            assertThat(remaining(300, "common")).isEqualTo(Optional.empty());
+        }
+
+        /** All requests with the deadly part share their first part with harmless ones. */
+        @Test
+        void moreCrashesOfAnotherPartReleaseARequestWithoutIt() {
+            crash(COMMON, 1, 0);
+            crash(DEADLY, 1, 0);
+            crash(DEADLY, 2, 700);
+            assertThat(remaining(false, 700, "common")).isEqualTo(Optional.empty());
+            assertThat(remaining(false, 700, "common", "deadly")).isEqualTo(millis(30_000));
+        }
+
+        @Test
+        void oneEntryTriesAPartWhoseCrashesMayHaveAnotherCause() {
+            for (int server = 1; server <= 4; server++) {
+                crash(COMMON, server, server * 1_000L);
+                crash(DEADLY, server, server * 1_000L);
+            }
+            assertThat(remaining(false, 4_000, "common")).isEqualTo(millis(1_000));
+            assertThat(remaining(true, 4_000, "common")).isEqualTo(Optional.empty());
+            assertThat(remaining(true, 4_000, "common", "deadly")).isEqualTo(millis(10 * MINUTE));
+            quarantine.recordAttempt(request("trial", "common"), at(4_000));
+            assertThat(remaining(true, 4_100, "common")).isEqualTo(millis(900));
+            served(COMMON, 4_200);
+            assertThat(remaining(false, 4_200, "common")).isEqualTo(Optional.empty());
+            assertThat(remaining(false, 4_200, "common", "deadly").isPresent()).isTrue();
+        }
+
+        @Test
+        void crashOfATrialIsBlamedOnThePartThatTheTrialContained() {
+            crash(COMMON, 1, 0);
+            crash(DEADLY, 1, 0);
+            crash(COMMON, 2, 1_500);
+            assertThat(remaining(false, 1_500, "common")).isEqualTo(millis(30_000));
+            assertThat(remaining(false, 1_500, "deadly")).isEqualTo(Optional.empty());
+        }
+
+        /** A stream is resumed after each crash and meets the deadly part twice. */
+        @Test
+        void requestThatRanBesideADeadlyPartIsNotQuarantined() {
+            crash(DEADLY, 1, 0);
+            crash(DEADLY, 2, 700);
+            recordCrash(1, 0);
+            recordCrash(2, 700);
+            assertThat(RequestQuarantineTests.this.remaining(0, 700)).isEqualTo(Optional.empty());
+            recordCrash(3, 5_000);
+            recordCrash(4, 6_000);
+            assertThat(RequestQuarantineTests.this.remaining(0, 6_000).isPresent())
+                    .isTrue();
+        }
+
+        @Test
+        void suspicionQuarantinesOnlyAPartWithoutAnAnswer() {
+            served(COMMON, 0);
+            assertThat(quarantine.quarantinedFor(
+                            request("a", "common"), c -> c.isPromptPart() ? 1 : 0, c -> true, at(10)))
+                    .isEqualTo(Optional.empty());
+            assertThat(quarantine.quarantinedFor(
+                            request("a", "deadly"), c -> c.isPromptPart() ? 1 : 0, c -> true, at(10)))
+                    .isEqualTo(millis(1_000));
+        }
+
+        @Test
+        void crashesOfPartsAreSharedWithOtherEntries() {
+            crash(DEADLY, 1, 0);
+            assertThat(quarantine.sharedCrashes(at(0)).keySet())
+                    .containsExactly(RequestQuarantineTests.crash(DEADLY, 1));
+        }
+
+        @Test
+        void remembersTheAnswersOfManyParts() {
+            for (int i = 0; i < 10_001; i++) {
+                served(CrashCause.of(PromptPart.of("p" + i)), i);
+            }
+            crash(CrashCause.of(PromptPart.of("p0")), 1, 10_001);
+            crash(CrashCause.of(PromptPart.of("p1")), 2, 10_001);
+            assertThat(remaining(10_001, "p0").isPresent()).isTrue();
+            assertThat(remaining(10_001, "p1")).isEqualTo(Optional.empty());
         }
     }
 
@@ -197,7 +350,7 @@
                 recordCrash(server, server);
             }
             for (int server = 3; server >= 1; server--) {
-                other.recordCrash(crash(REQUEST, server), at(50), at(50));
+                other.recordCrash(crash(CAUSE, server), at(50), at(50));
             }
             assertThat(quarantine.digest(at(60))).isEqualTo(other.digest(at(60)));
             assertThat(quarantine.digest(at(60))).isNotEqualTo(0);
@@ -210,13 +363,12 @@
             for (int server = 1; server <= 3; server++) {
                 recordCrash(server, server);
             }
-            quarantine
-                    .quarantinedCrashes(at(MINUTE))
-                    .forEach((c, crashedAt) -> other.recordCrash(c, crashedAt, at(MINUTE)));
+            quarantine.sharedCrashes(at(MINUTE)).forEach((c, crashedAt) -> other.recordCrash(c, crashedAt, at(MINUTE)));
             assertThat(other.digest(at(MINUTE))).isEqualTo(quarantine.digest(at(MINUTE)));
-            assertThat(quarantine.quarantinedFor(REQUEST, 0, () -> true, at(MINUTE)))
+            assertThat(quarantine.quarantinedFor(REQUEST, c -> 0, c -> true, at(MINUTE)))
+                    .isEqualTo(Optional.empty());
+            assertThat(other.quarantinedFor(REQUEST, c -> 0, c -> true, at(MINUTE)))
                     .isEqualTo(Optional.empty());
-            assertThat(other.quarantinedFor(REQUEST, 0, () -> true, at(MINUTE))).isEqualTo(Optional.empty());
         }
     }
 
@@ -232,11 +384,11 @@
     @Test
     void limitsTheNumberOfTrackedRequests() {
         for (int i = 0; i < 6_000; i++) {
-            quarantine.recordCrash(crash(RequestFingerprint.of("r" + i), i), at(i), at(i));
+            quarantine.recordCrash(crash(CrashCause.of(RequestFingerprint.of("r" + i)), i), at(i), at(i));
         }
-        assertThat(quarantine.crashCount(RequestFingerprint.of("r0"), at(6_000)))
+        assertThat(quarantine.crashCount(CrashCause.of(RequestFingerprint.of("r0")), at(6_000)))
                 .isEqualTo(0);
-        assertThat(quarantine.crashCount(RequestFingerprint.of("r5999"), at(6_000)))
+        assertThat(quarantine.crashCount(CrashCause.of(RequestFingerprint.of("r5999")), at(6_000)))
                 .isEqualTo(1);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import org.baobabspindle.core.crash.SuspectRequest;
 import org.baobabspindle.core.dispatch.RequestQueue;
 import org.baobabspindle.core.dispatch.TargetPool;
 import org.baobabspindle.core.dispatch.WaitingPolicy;
@@ -29,6 +30,7 @@
     private final Request request;
     private final Moment receivedAt;
     private final String apiKey;
+    private final List<PromptPart> sharedParts;
     private Optional<Route> route = Optional.empty();
     private Optional<TargetPool> pool = Optional.empty();
     private Moment deadline;
@@ -42,6 +44,8 @@
         this.deadline = receivedAt.plus(UNROUTED_TIMEOUT);
         String key = request.getHeaders().get(context.headerNames().apiKey());
         this.apiKey = key == null ? "" : key;
+        this.sharedParts = PromptPart.sharedParts(
+                request.getHeaders().get(context.headerNames().promptParts()));
     }
 
     /**
@@ -99,7 +103,7 @@
 
     /** Refuses the request if it is quarantined for crashing servers, in any attempt and at any entry. */
     Optional<Refusal> checkQuarantine(Moment now) {
-        return refuseQuarantined(context.quarantine().quarantinedFor(this::fingerprint, now));
+        return refuseQuarantined(context.quarantine().quarantinedFor(this::suspect, now));
     }
 
     /**
@@ -107,7 +111,7 @@
      * sent.
      */
     Optional<Refusal> checkBeforeSend(Moment now) {
-        return checkKey(now).or(() -> refuseQuarantined(context.quarantine().trySend(this::fingerprint, now)));
+        return checkKey(now).or(() -> refuseQuarantined(context.quarantine().trySend(this::suspect, now)));
     }
 
     private Optional<Refusal> refuseQuarantined(Optional<Duration> time) {
@@ -166,8 +170,13 @@
         return context.fleet().configuration().flatMap(c -> c.account(apiKey));
     }
 
+    /** Returns the request by what may make it crash a server. */
+    SuspectRequest suspect() {
+        return new SuspectRequest(fingerprint(), sharedParts());
+    }
+
     /** Returns the fingerprint of account, method, path and body, which all attempts of a request share. */
-    RequestFingerprint fingerprint() {
+    private RequestFingerprint fingerprint() {
         String account = account().map(a -> a.account().value()).orElse("");
         String head = account
                 + '\n'
@@ -183,8 +192,7 @@
 
     /** Returns the parts of the prompt that other requests may share; empty if the request names none. */
     List<PromptPart> sharedParts() {
-        return PromptPart.sharedParts(
-                request.getHeaders().get(context.headerNames().promptParts()));
+        return sharedParts;
     }
 
     /** Returns the priority of the account if it has one, else that of the route; 0 is served first. */
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.baobabspindle.core.dispatch.Target;
@@ -19,6 +20,12 @@
  * backend server at a time; events of earlier calls are ignored.
  */
 final class CallerExchange implements BackendCall.Listener {
+    /**
+     * An answer that has gone on for longer shows that no part of its prompt crashes the server; the first event may still
+     * arrive from a server that crashes with it.
+     */
+    private static final Duration HARMLESS_ANSWER = Duration.ofMillis(100);
+
     /** The number of targets that may refuse a request or be unreachable before it is given up. */
     private static final int MAX_REFUSALS = 3;
 
@@ -41,6 +48,10 @@
     private HttpFields callHeaders = HttpFields.EMPTY;
     private boolean callStarted;
     private Moment lastEventAt;
+    private Optional<Moment> answeringSince = Optional.empty();
+
+    /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
+    private Optional<PendingRetry> pendingRetry = Optional.empty();
 
     private boolean finished;
     private boolean mayHaveRun;
@@ -200,6 +211,7 @@
                 context.dispatcher().eventReceived(target.orElseThrow(), interval, now);
                 callStarted = true;
                 lastEventAt = now;
+                answeringSince = answeringSince.or(() -> Optional.of(now));
                 if (!response.writeEvent(e)) {
                     from.cancel("event ids are not contiguous");
                     return;
@@ -242,11 +254,13 @@
     }
 
     private void recordBroken(Moment now) {
+        boolean answering = answeringSince
+                .filter(since -> now.since(since).compareTo(HARMLESS_ANSWER) > 0)
+                .isPresent();
         context.quarantine()
                 .requestBroken(
-                        admission.fingerprint(),
-                        admission.sharedParts(),
-                        callStarted,
+                        admission.suspect(),
+                        answering,
                         id(),
                         target.orElseThrow().server(),
                         now);
@@ -310,6 +324,11 @@
      * @param budgeted whether the retry is taken out of the retry budget
      */
     private NextStep retryOrGiveUp(Refusal otherwise, boolean budgeted, String reason, Moment now) {
+        if (context.quarantine().awaitsInvestigation(admission::suspect, now)) {
+            pendingRetry = Optional.of(new PendingRetry(otherwise, budgeted, reason));
+            return NextStep.NONE;
+        }
+        pendingRetry = Optional.empty();
         boolean allowed = attempts < admission.route().orElseThrow().maxAttempts()
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
@@ -322,6 +341,8 @@
         return NextStep.FIND_TARGET;
     }
 
+    private record PendingRetry(Refusal otherwise, boolean budgeted, String reason) {}
+
     private void logRetry(String reason) {
         String after = target.map(Target::key).orElse("");
         context.log()
@@ -346,7 +367,8 @@
     }
 
     private NextStep deliver(Moment now) {
-        context.quarantine().served(admission::fingerprint, now);
+        boolean succeeded = response.status() == 200;
+        context.quarantine().served(admission::suspect, succeeded ? admission.sharedParts() : List.of(), now);
         boolean retryServerError = response.status() >= 500
                 && admission.route().orElseThrow().repeatable()
                 && !response.committed()
@@ -412,8 +434,12 @@
         response.abort("caller has disconnected");
     }
 
-    /** Checks the deadline of the request and whether its caller is still connected; called periodically. */
+    /**
+     * Checks the deadline of the request, a retry that waits, and whether the caller is still connected; called
+     * periodically.
+     */
     void tick(Moment now) {
+        NextStep step = NextStep.NONE;
         synchronized (this) {
             if (finished) {
                 return;
@@ -423,6 +449,13 @@
                 refuse(sent ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY, "request deadline has passed", now);
                 return;
             }
+            if (pendingRetry.isPresent()) {
+                PendingRetry p = pendingRetry.get();
+                step = retryOrGiveUp(p.otherwise(), p.budgeted(), p.reason(), now);
+            }
+        }
+        if (step == NextStep.FIND_TARGET) {
+            requestTarget(now);
         }
         if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof PeekingEndPoint p
                 && p.closedByCaller()) {
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -9,15 +9,17 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.core.crash.Crash;
+import org.baobabspindle.core.crash.CrashCause;
 import org.baobabspindle.core.crash.CrashDetector;
 import org.baobabspindle.core.crash.RequestQuarantine;
+import org.baobabspindle.core.crash.SuspectRequest;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetService;
 import org.baobabspindle.core.fleet.Liveness;
 import org.baobabspindle.core.id.PromptPart;
-import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.peer.PeerMessage;
@@ -55,7 +57,7 @@
             }
 
             @Override
-            public boolean retriesHere(RequestFingerprint request, Moment now) {
+            public boolean retriesHere(CrashCause cause, Moment now) {
                 return true;
             }
         };
@@ -63,8 +65,8 @@
         /** Broadcasts crash notices to the other entries. */
         void broadcast(List<PeerMessage.CrashNotice> notices);
 
-        /** Returns whether this entry, among those that respond, is the one that retries a quarantined request. */
-        boolean retriesHere(RequestFingerprint request, Moment now);
+        /** Returns whether this entry, among those that respond, is the one that retries a quarantined cause. */
+        boolean retriesHere(CrashCause cause, Moment now);
     }
 
     CrashGuard(
@@ -87,14 +89,35 @@
     }
 
     /** Returns the time after which a quarantined request may be retried; empty if the request may be sent now. */
-    Optional<Duration> quarantinedFor(Supplier<RequestFingerprint> request, Moment now) {
+    Optional<Duration> quarantinedFor(Supplier<SuspectRequest> request, Moment now) {
         if (!investigating && !tracking) {
             return Optional.empty();
         }
-        RequestFingerprint f = request.get();
+        SuspectRequest suspect = request.get();
         synchronized (this) {
-            return quarantine.quarantinedFor(
-                    f, detector.unresolvedFailureDomains(f), () -> peers.retriesHere(f, now), now);
+            return quarantinedFor(suspect, c -> detector.unresolvedFailureDomains(c, now), now);
+        }
+    }
+
+    private Optional<Duration> quarantinedFor(
+            SuspectRequest suspect, ToIntFunction<CrashCause> unresolved, Moment now) {
+        return quarantine.quarantinedFor(suspect, unresolved, c -> peers.retriesHere(c, now), now);
+    }
+
+    /**
+     * Returns whether a request is quarantined only until it is known whether a server that broke off requests with a
+     * part of its prompt has crashed.
+     */
+    boolean awaitsInvestigation(Supplier<SuspectRequest> request, Moment now) {
+        if (!investigating) {
+            return false;
+        }
+        SuspectRequest suspect = request.get();
+        synchronized (this) {
+            ToIntFunction<CrashCause> all = c -> detector.unresolvedFailureDomains(c, now);
+            ToIntFunction<CrashCause> withoutParts = c -> c.isPromptPart() ? 0 : all.applyAsInt(c);
+            return quarantinedFor(suspect, all, now).isPresent()
+                    && quarantinedFor(suspect, withoutParts, now).isEmpty();
         }
     }
 
@@ -102,36 +125,48 @@
      * Returns the time after which a quarantined request may be retried, or empty if it may be sent now; in this case
      * the attempt is recorded.
      */
-    Optional<Duration> trySend(Supplier<RequestFingerprint> request, Moment now) {
+    Optional<Duration> trySend(Supplier<SuspectRequest> request, Moment now) {
         if (!investigating && !tracking) {
             return Optional.empty();
         }
-        RequestFingerprint f = request.get();
+        SuspectRequest suspect = request.get();
         synchronized (this) {
-            Optional<Duration> wait = quarantine.quarantinedFor(
-                    f, detector.unresolvedFailureDomains(f), () -> peers.retriesHere(f, now), now);
+            Optional<Duration> wait = quarantinedFor(suspect, c -> detector.unresolvedFailureDomains(c, now), now);
             if (wait.isEmpty()) {
-                quarantine.recordAttempt(f, now);
+                quarantine.recordAttempt(suspect, now);
             }
             return wait;
         }
     }
 
-    /** Records that a request got a complete response, and broadcasts it if crashes of the request were known. */
-    void served(Supplier<RequestFingerprint> request, Moment now) {
-        if (!investigating && !tracking) {
+    /**
+     * Records that a request got a complete response, and broadcasts it if crashes were known of the request or of a
+     * part of its prompt.
+     *
+     * @param answeredParts the shared parts of its prompt if the server succeeded, which shows that they are harmless
+     */
+    void served(Supplier<SuspectRequest> request, List<PromptPart> answeredParts, Moment now) {
+        List<CrashCause> answered = new ArrayList<>();
+        answeredParts.forEach(p -> answered.add(CrashCause.of(p)));
+        if (investigating || tracking) {
+            answered.add(CrashCause.of(request.get().fingerprint()));
+        }
+        if (answered.isEmpty()) {
             return;
         }
-        RequestFingerprint f = request.get();
-        boolean released;
+        List<CrashCause> released;
         synchronized (this) {
-            detector.requestServed(f);
+            detector.requestServed(answered);
             investigating = !detector.isEmpty();
-            released = quarantine.recordSuccess(f, now, now);
+            released = answered.stream()
+                    .filter(c -> quarantine.recordSuccess(c, now, now))
+                    .toList();
         }
-        if (released) {
-            log.write("crash", "request completed without crashing its server", "fingerprint", f);
-            peers.broadcast(List.of(new PeerMessage.CrashNotice(f, "", "", 0)));
+        if (!released.isEmpty()) {
+            log.write("crash", "request completed without crashing its server", "causes", released);
+            peers.broadcast(released.stream()
+                    .map(c -> new PeerMessage.CrashNotice(c, "", "", 0))
+                    .toList());
         }
     }
 
@@ -150,27 +185,27 @@
         Moment at = now.minus(Duration.ofMillis(Math.max(0, n.ageMillis())));
         if (n.server().isEmpty()) {
             synchronized (this) {
-                quarantine.recordSuccess(n.request(), at, now);
+                quarantine.recordSuccess(n.cause(), at, now);
             }
         } else {
             BackendServer.Lifetime server = BackendServer.Lifetime.parse(n.server());
-            recordCrash(new Crash(n.request(), server, n.failureDomain()), at, now, "another entry");
+            recordCrash(new Crash(n.cause(), server, n.failureDomain()), at, now, "another entry");
         }
     }
 
-    /** Returns the crashes of the requests that this entry has in quarantine. */
+    /** Returns the crashes that other entries must know. */
     synchronized List<PeerMessage.CrashNotice> quarantineNotices(Moment now) {
         List<PeerMessage.CrashNotice> result = new ArrayList<>();
-        quarantine.quarantinedCrashes(now).forEach((c, at) -> result.add(notice(c, at, now)));
+        quarantine.sharedCrashes(now).forEach((c, at) -> result.add(notice(c, at, now)));
         return result;
     }
 
     private static PeerMessage.CrashNotice notice(Crash c, Moment at, Moment now) {
         return new PeerMessage.CrashNotice(
-                c.request(), c.server().format(), c.failureDomain(), now.monotonicMillisSince(at));
+                c.cause(), c.server().format(), c.failureDomain(), now.monotonicMillisSince(at));
     }
 
-    /** Returns a digest that is equal at entries that quarantine the same requests; 0 if there are none. */
+    /** Returns a digest that is equal at entries that know the same shared crashes; 0 if there are none. */
     long digest(Moment now) {
         if (!tracking) {
             return 0;
@@ -195,16 +230,9 @@
      * Records that a server broke a request. A server that is draining or not listed is shutting down as planned and is
      * not suspected.
      *
-     * @param sharedParts the parts of its prompt that other requests may share
      * @param answering whether the server had begun to answer the request
      */
-    void requestBroken(
-            RequestFingerprint request,
-            List<PromptPart> sharedParts,
-            boolean answering,
-            String requestId,
-            BackendServer server,
-            Moment now) {
+    void requestBroken(SuspectRequest request, boolean answering, String requestId, BackendServer server, Moment now) {
         boolean serving = fleet.isServing(server.lifetime());
         log.write(
                 "broken-off",
@@ -212,9 +240,9 @@
                 "request",
                 requestId,
                 "fingerprint",
-                request,
+                request.fingerprint(),
                 "parts",
-                sharedParts,
+                request.sharedParts(),
                 "answering",
                 answering,
                 "server",
@@ -226,7 +254,7 @@
             return;
         }
         synchronized (this) {
-            detector.requestBroken(request, server, now);
+            detector.requestBroken(request.causesOfBreak(answering), server, now);
             investigating = true;
         }
     }
@@ -333,8 +361,8 @@
             log.write(
                     "crash",
                     "server crashed while running the request: " + cause,
-                    "fingerprint",
-                    c.request(),
+                    "cause",
+                    c.cause(),
                     "server",
                     c.server().id(),
                     "born",
@@ -348,18 +376,20 @@
 
     private void recordCrash(Crash c, Moment at, Moment now, String source) {
         boolean quarantined;
+        int crashes;
         synchronized (this) {
             quarantined = quarantine.recordCrash(c, at, now);
+            crashes = quarantine.crashCount(c.cause(), now);
             tracking = true;
         }
         if (quarantined) {
             log.write(
                     "turned-away",
-                    "servers crashed each time that they ran the request",
-                    "fingerprint",
-                    c.request(),
+                    "servers crashed each time that they ran it",
+                    "cause",
+                    c.cause(),
                     "crashes",
-                    RequestQuarantine.QUARANTINE_CRASHES,
+                    crashes,
                     "source",
                     source);
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -8,10 +8,10 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import org.baobabspindle.core.crash.CrashCause;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
-import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerMessage;
 
@@ -106,8 +106,8 @@
     }
 
     @Override
-    public boolean retriesHere(RequestFingerprint request, Moment now) {
-        return mesh.isFirstChoice(request.value(), now);
+    public boolean retriesHere(CrashCause cause, Moment now) {
+        return mesh.isFirstChoice(cause.value(), now);
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.baobabspindle.core.crash.CrashCause;
 import org.baobabspindle.core.group.Lifecycle;
 import org.baobabspindle.core.id.Checks;
 import org.baobabspindle.core.id.ClientAccountId;
@@ -14,7 +15,6 @@
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.id.LogOffset;
 import org.baobabspindle.core.id.Region;
-import org.baobabspindle.core.id.RequestFingerprint;
 
 /**
  * The messages that entries exchange. The names of the types are metric labels, and the names of their components are on
@@ -248,19 +248,19 @@
     record EnginesSuspected(InstanceId by, List<InstanceId> engines) implements PeerMessage {}
 
     /**
-     * The observed outcome of a request that may crash backend servers: a crash, or a complete response.
+     * An observation about what may crash backend servers, a request or a prompt part: a crash, or a complete response.
      *
-     * @param request the fingerprint of the request
+     * @param cause the request or prompt part
      * @param server the backend server that crashed while it ran the request, by id and start time as {@code id/millis}; empty if
-     *     the request received a complete response
+     *     a complete response was received
      * @param failureDomain the failure domain of that server, whose servers may fail together
      * @param ageMillis the time from the observation to this message, in milliseconds
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record CrashNotice(RequestFingerprint request, String server, String failureDomain, long ageMillis) {
+    record CrashNotice(CrashCause cause, String server, String failureDomain, long ageMillis) {
         /** Rejects absent components. */
         public CrashNotice {
-            Checks.require(request != null, "request must not be null");
+            Checks.require(cause != null, "cause must not be null");
             Checks.require(server != null && failureDomain != null, "server and failure domain must not be null");
         }
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabspindle.core.crash.CrashCause;
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.peer.PeerMessage;
@@ -182,7 +183,7 @@
         FleetTable fleet = new FleetTable(platform, new EventLog());
         CrashGuard guard =
                 new CrashGuard(fleet, platform, clock, new EventLog(), new GatewayMetrics(), new SplittableRandom(1));
-        RequestFingerprint request = RequestFingerprint.of("a");
+        CrashCause request = CrashCause.of(RequestFingerprint.of("a"));
         guard.receive(List.of(
                 new PeerMessage.CrashNotice(request, "no life", "d", 0),
                 new PeerMessage.CrashNotice(request, "s1/1", "d1", 0),
