--- a/core/src/main/java/org/baobabspindle/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashHistory.java
@@ -27,6 +27,7 @@
     private final Map<Crash, Moment> crashes = new HashMap<>();
     private Optional<Moment> servedAt;
     private Optional<Moment> lastTrialAt = Optional.empty();
+    private boolean proofShared;
 
     CrashHistory(Optional<Moment> servedAt) {
         this.servedAt = servedAt;
@@ -36,7 +37,9 @@
         crashes.putIfAbsent(crash, at);
     }
 
+    /** Records a complete answer that all entries know or are told of. */
     void served(Moment at) {
+        proofShared = true;
         servedAt = Optional.of(servedAt.map(s -> ServedParts.later(s, at)).orElse(at));
     }
 
@@ -48,6 +51,13 @@
         return servedAt;
     }
 
+    /** Returns the last answer if only this entry may know of it, and counts it as shared from now on. */
+    Optional<Moment> takeUnsharedAnswer() {
+        Optional<Moment> unshared = proofShared ? Optional.empty() : servedAt;
+        proofShared = true;
+        return unshared;
+    }
+
     Optional<Moment> lastTrialAt() {
         return lastTrialAt;
     }
--- a/core/src/main/java/org/baobabspindle/core/crash/RequestQuarantine.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/RequestQuarantine.java
@@ -120,22 +120,54 @@
         return h == null ? List.of() : h.countedCrashes(excused, now);
     }
 
+    /**
+     * Returns when a prompt part with crashes was last answered before them, for other entries to know; once for each
+     * part.
+     *
+     * @param part the prompt part
+     * @param now the present time
+     * @return the time of the answer; empty if there is none or the other entries know it
+     */
+    public Optional<Moment> takeProof(CrashCause part, Moment now) {
+        CrashHistory h = histories.get(part);
+        return h != null && isProven(part, now) ? h.takeUnsharedAnswer() : Optional.empty();
+    }
+
+    /**
+     * Returns the times of the last answers of the prompt parts that have crashes and were answered shortly before.
+     *
+     * @param now the present time
+     * @return the parts and the times of their last answers
+     */
+    public Map<CrashCause, Moment> proofs(Moment now) {
+        Map<CrashCause, Moment> result = new LinkedHashMap<>();
+        histories.forEach((cause, h) -> {
+            if (cause.isPromptPart() && isProven(cause, now)) {
+                h.servedAt().ifPresent(at -> result.put(cause, at));
+            }
+        });
+        return result;
+    }
+
     /** Returns whether a cause has enough crashes for a quarantine, if nothing else explains them. */
     private boolean isBlamed(CrashCause cause, Moment now) {
-        List<Moment> crashes = countedCrashes(cause, Set.of(), now);
-        return crashes.size() >= requiredCrashes(cause, crashes, now);
+        return crashCount(cause, now) >= requiredCrashes(cause, now);
     }
 
-    private int requiredCrashes(CrashCause cause, List<Moment> crashes, Moment now) {
+    private int requiredCrashes(CrashCause cause, Moment now) {
         if (!cause.isPromptPart()) {
             return REQUEST_CRASHES;
         }
-        CrashHistory h = histories.get(cause);
-        Optional<Moment> servedAt = h == null ? servedParts.lastServed(cause) : h.servedAt();
-        Moment firstCrash = crashes.isEmpty() ? now : crashes.get(0);
-        boolean proven = servedAt.filter(at -> firstCrash.monotonicMillisSince(at) <= PART_PROOF_LIFETIME.toMillis())
+        return isProven(cause, now) ? CONFIRMING_CRASHES : UNPROVEN_PART_CRASHES;
+    }
+
+    /** Returns whether a prompt part was answered shortly before its first crash, or now if it has none. */
+    private boolean isProven(CrashCause part, Moment now) {
+        CrashHistory h = histories.get(part);
+        Optional<Moment> servedAt = h == null ? servedParts.lastServed(part) : h.servedAt();
+        Moment until = countedCrashes(part, Set.of(), now).stream().findFirst().orElse(now);
+        return servedAt.filter(at -> until.monotonicMillisSince(at) <= PART_PROOF_LIFETIME.toMillis())
                 .isPresent();
-        return proven ? CONFIRMING_CRASHES : UNPROVEN_PART_CRASHES;
     }
 
     /** How a prompt part that a request does not contain relates to the crashes of a cause in it. */
@@ -144,26 +176,32 @@
         NONE,
         /** The same crashes count against both, so that one of them is harmless. */
         SAME_CRASHES,
-        /** All of them, and further ones, count against the other part. */
-        COMPLETE;
-
-        static Explanation of(Set<BackendServer.Lifetime> crashed, Set<BackendServer.Lifetime> otherCrashed) {
-            if (!otherCrashed.containsAll(crashed)) {
-                return NONE;
-            }
-            return otherCrashed.size() > crashed.size() ? COMPLETE : SAME_CRASHES;
-        }
+        /** All of them count against the other part, which has further ones or lacks an answer that this one has. */
+        COMPLETE
     }
 
-    /** Returns the servers that crashed under each blamed prompt part that a request does not contain. */
-    private List<Set<BackendServer.Lifetime>> crashedUnderOtherParts(SuspectRequest request, Moment now) {
+    /** Returns the blamed prompt parts that a request does not contain. */
+    private List<CrashCause> otherBlamedParts(SuspectRequest request, Moment now) {
         List<CrashCause> own = request.causes();
-        return histories.entrySet().stream()
-                .filter(e -> e.getKey().isPromptPart() && !own.contains(e.getKey()) && isBlamed(e.getKey(), now))
-                .map(e -> e.getValue().crashedServers(now))
+        return histories.keySet().stream()
+                .filter(c -> c.isPromptPart() && !own.contains(c) && isBlamed(c, now))
                 .toList();
     }
 
+    private Set<BackendServer.Lifetime> crashedServers(CrashCause cause, Moment now) {
+        return histories.get(cause).crashedServers(now);
+    }
+
+    private Explanation explain(CrashCause part, CrashCause other, Moment now) {
+        Set<BackendServer.Lifetime> crashed = crashedServers(part, now);
+        Set<BackendServer.Lifetime> otherCrashed = crashedServers(other, now);
+        if (!otherCrashed.containsAll(crashed)) {
+            return Explanation.NONE;
+        }
+        boolean likelier = otherCrashed.size() > crashed.size() || (isProven(part, now) && !isProven(other, now));
+        return likelier ? Explanation.COMPLETE : Explanation.SAME_CRASHES;
+    }
+
     /**
      * Returns the delay after which a quarantined request may be retried.
      *
@@ -196,7 +234,8 @@
     /** A crash has one cause: those that a part with several crashes explains do not count against a request. */
     private Duration requestQuarantine(
             CrashCause cause, SuspectRequest request, int pending, Predicate<CrashCause> retriesHere, Moment now) {
-        Set<BackendServer.Lifetime> explained = crashedUnderOtherParts(request, now).stream()
+        Set<BackendServer.Lifetime> explained = otherBlamedParts(request, now).stream()
+                .map(part -> crashedServers(part, now))
                 .filter(servers -> servers.size() >= REQUEST_CRASHES)
                 .flatMap(Set::stream)
                 .collect(Collectors.toSet());
@@ -210,15 +249,14 @@
     private Duration partQuarantine(
             CrashCause part, SuspectRequest request, int pending, Predicate<CrashCause> retriesHere, Moment now) {
         List<Moment> crashes = countedCrashes(part, Set.of(), now);
-        if (crashes.size() + pending < requiredCrashes(part, crashes, now)) {
+        if (crashes.size() + pending < requiredCrashes(part, now)) {
             return Duration.ZERO;
         }
         if (pending > 0) {
             return TRIAL_INTERVAL;
         }
-        Set<BackendServer.Lifetime> crashed = histories.get(part).crashedServers(now);
-        Explanation explanation = crashedUnderOtherParts(request, now).stream()
-                .map(other -> Explanation.of(crashed, other))
+        Explanation explanation = otherBlamedParts(request, now).stream()
+                .map(other -> explain(part, other, now))
                 .max(Comparator.naturalOrder())
                 .orElse(Explanation.NONE);
         return switch (explanation) {
--- a/core/src/test/java/org/baobabspindle/core/crash/RequestQuarantineTests.java
+++ b/core/src/test/java/org/baobabspindle/core/crash/RequestQuarantineTests.java
@@ -286,6 +286,34 @@
             assertThat(remaining(false, 4_200, "common", "deadly").isPresent()).isTrue();
         }
 
+        @Test
+        void partWithARecentAnswerIsExcusedByOneWithout() {
+            served(COMMON, 0);
+            for (int server = 1; server <= 3; server++) {
+                crash(COMMON, server, server * 1_000L);
+                crash(DEADLY, server, server * 1_000L);
+            }
+            assertThat(remaining(false, 3_000, "common")).isEqualTo(Optional.empty());
+            assertThat(remaining(false, 3_000, "deadly").isPresent()).isTrue();
+        }
+
+        @Test
+        void proofOfAPartIsToldOnce() {
+            served(COMMON, 0);
+            assertThat(quarantine.takeProof(COMMON, at(10))).isEqualTo(Optional.empty());
+            crash(COMMON, 1, 20);
+            assertThat(quarantine.takeProof(COMMON, at(20))).isEqualTo(Optional.of(at(0)));
+            assertThat(quarantine.takeProof(COMMON, at(21))).isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void proofThatAnotherEntryHasToldIsNotRepeated() {
+            crash(COMMON, 1, 20);
+            served(COMMON, 10);
+            assertThat(quarantine.takeProof(COMMON, at(20))).isEqualTo(Optional.empty());
+            assertThat(quarantine.takeProof(DEADLY, at(20))).isEqualTo(Optional.empty());
+        }
+
         @Test
         void crashOfATrialIsBlamedOnThePartThatTheTrialContained() {
             crash(COMMON, 1, 0);
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -36,6 +36,9 @@
     /** The timeout of a liveness probe; an unresponsive server is probed again. */
     private static final Duration PROBE_TIMEOUT = SuspectGroupProber.PROBE_TIMEOUT;
 
+    /** The expected number of entries that tell of their answers with a prompt part after its first crash. */
+    private static final int MAX_PROOFS = 8;
+
     private final FleetTable fleet;
     private final EnginePort engines;
     private final GatewayClock clock;
@@ -56,6 +59,11 @@
                 // There are no peers.
             }
 
+            @Override
+            public int entries() {
+                return 1;
+            }
+
             @Override
             public boolean retriesHere(CrashCause cause, Moment now) {
                 return true;
@@ -65,6 +73,9 @@
         /** Broadcasts crash notices to the other entries. */
         void broadcast(List<PeerMessage.CrashNotice> notices);
 
+        /** Returns the number of entries, this one included. */
+        int entries();
+
         /** Returns whether this entry, among those that respond, is the one that retries a quarantined cause. */
         boolean retriesHere(CrashCause cause, Moment now);
     }
@@ -164,9 +175,8 @@
         }
         if (!released.isEmpty()) {
             log.write("crash", "request completed without crashing its server", "causes", released);
-            peers.broadcast(released.stream()
-                    .map(c -> new PeerMessage.CrashNotice(c, "", "", 0))
-                    .toList());
+            peers.broadcast(
+                    released.stream().map(c -> answerNotice(c, now, now)).toList());
         }
     }
 
@@ -193,13 +203,18 @@
         }
     }
 
-    /** Returns the crashes that other entries must know. */
+    /** Returns the crashes that other entries must know, after the answers that speak for their prompt parts. */
     synchronized List<PeerMessage.CrashNotice> quarantineNotices(Moment now) {
         List<PeerMessage.CrashNotice> result = new ArrayList<>();
+        quarantine.proofs(now).forEach((c, at) -> result.add(answerNotice(c, at, now)));
         quarantine.sharedCrashes(now).forEach((c, at) -> result.add(notice(c, at, now)));
         return result;
     }
 
+    private static PeerMessage.CrashNotice answerNotice(CrashCause cause, Moment at, Moment now) {
+        return new PeerMessage.CrashNotice(cause, "", "", now.monotonicMillisSince(at));
+    }
+
     private static PeerMessage.CrashNotice notice(Crash c, Moment at, Moment now) {
         return new PeerMessage.CrashNotice(
                 c.cause(), c.server().format(), c.failureDomain(), now.monotonicMillisSince(at));
@@ -377,11 +392,15 @@
     private void recordCrash(Crash c, Moment at, Moment now, String source) {
         boolean quarantined;
         int crashes;
+        Optional<Moment> proof;
         synchronized (this) {
             quarantined = quarantine.recordCrash(c, at, now);
             crashes = quarantine.crashCount(c.cause(), now);
+            proof = quarantine.takeProof(c.cause(), now);
             tracking = true;
         }
+        proof.filter(p -> random.nextInt(peers.entries()) < MAX_PROOFS)
+                .ifPresent(p -> peers.broadcast(List.of(answerNotice(c.cause(), p, now))));
         if (quarantined) {
             log.write(
                     "turned-away",
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -105,6 +105,11 @@
         mesh.broadcast(new PeerMessage.CrashesTold(notices), context.clock().now());
     }
 
+    @Override
+    public int entries() {
+        return context.entryCount();
+    }
+
     @Override
     public boolean retriesHere(CrashCause cause, Moment now) {
         return mesh.isFirstChoice(cause.value(), now);
--- a/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
@@ -132,6 +132,24 @@
         assertThat(crashed()).isAtMost(MAX_CRASHES);
     }
 
+    /** The other entry learns from the one that has served the parts that they are harmless. */
+    @Test
+    void soundPartsThatOnlyOneEntryHasServedAreNotRefusedAtTheOther() throws Exception {
+        startServers();
+        startOtherNode();
+        List<String> parts =
+                IntStream.range(0, 8).mapToObj(i -> "common" + i + ":40").toList();
+        for (String part : parts) {
+            assertThat(send(platform, "/safe/", part)).isEqualTo(200);
+        }
+        send(otherPlatform, "/unsafe/", String.join(",", parts) + "," + DEADLY + ":210");
+        Thread.sleep(INTERVAL.toMillis());
+        for (String part : parts) {
+            assertThat(send(otherPlatform, "/safe/", part)).isEqualTo(200);
+        }
+        assertThat(sendDeadly(otherPlatform, "/unsafe/")).isEqualTo(503);
+    }
+
     @Test
     void entryThatStartsLaterRefusesRequestsWithThePart() throws Exception {
         startServers();
