--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -11,6 +11,7 @@
 import org.baobabspindle.core.fleet.Route;
 import org.baobabspindle.core.time.Moment;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -313,10 +314,20 @@
 
     private boolean isCompleteResponse() {
         boolean stream = admission.streaming() && callStatus == 200;
-        boolean complete = stream ? !splitter.withinEvent() : !response.committed();
+        boolean complete = stream ? isCompleteStream() : !response.committed();
         return complete && callHeaders.contains(context.headerNames().serverStamp());
     }
 
+    /** Returns whether a stream has ended as a whole; the end of its connection alone shows nothing before an event. */
+    private boolean isCompleteStream() {
+        boolean framed =
+                callHeaders.contains(HttpHeader.CONTENT_LENGTH) || callHeaders.contains(HttpHeader.TRANSFER_ENCODING);
+        boolean begun = response.lastEventId() >= 0
+                || callStarted
+                || request.getHeaders().contains(context.headerNames().lastEventId());
+        return !splitter.withinEvent() && (framed || begun);
+    }
+
     /**
      * Retries the request at another target if that is still allowed, else gives up.
      *
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/UnframedAnswerTests.java
@@ -0,0 +1,83 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+/** Tests answers with neither a length nor chunks, which end with their connection. */
+class UnframedAnswerTests extends GatewayTestSupport {
+    private static void head(OutputStream out, String request, String contentType) throws IOException {
+        RawBackend.write(
+                out,
+                "HTTP/1.1 200 OK\r\nId: " + RawBackend.header(request, "Id") + "\r\nStamp: s\r\nContent-Type: "
+                        + contentType + "\r\n\r\n");
+    }
+
+    private static RawBackend.Script stream(String text) {
+        return (request, out, socket) -> {
+            head(out, request, "text/event-stream");
+            RawBackend.write(out, text);
+            socket.close();
+        };
+    }
+
+    @Test
+    void plainAnswerIsForwardedWhole() throws Exception {
+        start((request, out, socket) -> {
+            head(out, request, "text/plain");
+            RawBackend.write(out, "the whole ");
+            Thread.sleep(50);
+            RawBackend.write(out, "answer");
+            socket.close();
+        });
+        HttpResponse<String> answer = post("/unsafe/x");
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("the whole answer");
+    }
+
+    @Test
+    void streamIsForwardedWhole() throws Exception {
+        start(stream(event(0) + event(1)));
+        HttpResponse<String> answer = post("/stream/x");
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo(event(0) + event(1));
+        assertThat(backends.get(0).requests()).hasSize(1);
+    }
+
+    @Test
+    void streamThatEndsInsideAnEventGoesOnAtAnotherServer() throws Exception {
+        RawBackend.Script script = (request, out, socket) -> {
+            if (RawBackend.header(request, "Last-Event-Id").equals("0")) {
+                stream(event(1)).answer(request, out, socket);
+            } else {
+                stream(event(0) + "id: 1\nda").answer(request, out, socket);
+            }
+        };
+        start(script, script);
+        assertThat(post("/stream/x").body()).isEqualTo(event(0) + event(1));
+    }
+
+    @Test
+    void streamThatEndsInsideAnEventLooksIncompleteToTheCaller() throws Exception {
+        start(stream(event(0) + "id: 1\nda"));
+        assertThrows(IOException.class, () -> post("/stream/x"));
+    }
+
+    @Test
+    void streamWithoutAnEventIsSentToAnotherServer() throws Exception {
+        RawBackend.Script empty = stream("");
+        RawBackend.Script script = (request, out, socket) -> {
+            if (backends.stream().mapToInt(b -> b.requests().size()).sum() == 1) {
+                empty.answer(request, out, socket);
+            } else {
+                stream(event(0)).answer(request, out, socket);
+            }
+        };
+        start(script, script);
+        assertThat(post("/stream/x").body()).isEqualTo(event(0));
+    }
+}
