Move the state of one call's response out of CallerExchange; name parts and fingerprints in the log as before

The fields of crash and turned-away lines stay: fingerprint for a request, part for a prompt part. No decision changes. A test more: a request with an unproven part whose server lost the answer and runs on is repeated and served.

--- a/core/src/main/java/org/baobabspindle/core/crash/CrashCause.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashCause.java
@@ -50,6 +50,15 @@
         return value.startsWith(PART_PREFIX);
     }
 
+    /**
+     * Returns the identifier of this cause among those of its kind.
+     *
+     * @return the fingerprint, or the identifier of the prompt part
+     */
+    public String id() {
+        return isPromptPart() ? value.substring(PART_PREFIX.length()) : value;
+    }
+
     @Override
     public String toString() {
         return value;
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -0,0 +1,64 @@
+package org.baobabspindle.gateway;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.baobabspindle.core.time.Moment;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+
+/** The response to one call to a backend server, as far as it has been received. */
+final class CallAnswer {
+    private final EventSplitter splitter = new EventSplitter();
+    private int status;
+    private HttpFields headers = HttpFields.EMPTY;
+    private Optional<Moment> lastEventAt = Optional.empty();
+
+    void head(int newStatus, HttpFields newHeaders) {
+        status = newStatus;
+        headers = newHeaders;
+    }
+
+    /** Returns the status; 0 until it is received. */
+    int status() {
+        return status;
+    }
+
+    HttpFields headers() {
+        return headers;
+    }
+
+    /** Consumes bytes of a stream and returns the events that they complete. */
+    List<EventSplitter.Event> split(ByteBuffer bytes) {
+        return splitter.split(bytes);
+    }
+
+    /** Returns whether an incomplete event exceeds the maximum length. */
+    boolean eventTooLong() {
+        return splitter.tooLong();
+    }
+
+    /** Records an event and returns the interval since the one before it; empty for the first one. */
+    Optional<Duration> eventReceived(Moment now) {
+        Optional<Duration> interval = lastEventAt.map(now::since);
+        lastEventAt = Optional.of(now);
+        return interval;
+    }
+
+    /** Returns whether an event has been received. */
+    boolean started() {
+        return lastEventAt.isPresent();
+    }
+
+    /**
+     * Returns whether a stream that has ended is whole. Without framing, the end of the connection shows nothing before
+     * an event.
+     *
+     * @param eventsBefore whether the caller had received events of this stream before the call
+     */
+    boolean isWholeStream(boolean eventsBefore) {
+        boolean framed = headers.contains(HttpHeader.CONTENT_LENGTH) || headers.contains(HttpHeader.TRANSFER_ENCODING);
+        return !splitter.withinEvent() && (framed || started() || eventsBefore);
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -11,7 +11,6 @@
 import org.baobabspindle.core.fleet.Route;
 import org.baobabspindle.core.time.Moment;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -42,13 +41,9 @@
     private Optional<Dispatcher.Ticket> ticket = Optional.empty();
     private Optional<BackendCall> call = Optional.empty();
     private Optional<Target> target = Optional.empty();
-    private EventSplitter splitter = new EventSplitter();
 
     // The response to the current call; the headers of a later call for the same stream may differ.
-    private int callStatus;
-    private HttpFields callHeaders = HttpFields.EMPTY;
-    private boolean callStarted;
-    private Moment lastEventAt;
+    private CallAnswer answer = new CallAnswer();
     private Optional<Moment> answeringSince = Optional.empty();
 
     /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
@@ -128,10 +123,7 @@
             target = Optional.of(t);
             sentAt = now;
             tried.add(t.key());
-            callStarted = false;
-            callStatus = 0;
-            callHeaders = HttpFields.EMPTY;
-            splitter = new EventSplitter();
+            answer = new CallAnswer();
             next = new BackendCall(
                     context.client(),
                     t,
@@ -170,8 +162,7 @@
             if (isStale(from)) {
                 return;
             }
-            callStatus = newStatus;
-            callHeaders = headers;
+            answer.head(newStatus, headers);
             response.setHead(newStatus, headers);
             bufferedBody.clear();
         }
@@ -201,24 +192,21 @@
             if (isStale(from)) {
                 return;
             }
-            if (!admission.streaming() || callStatus != 200) {
+            if (!admission.streaming() || answer.status() != 200) {
                 if (!bufferedBody.add(bytes)) {
                     cancelTooLong(from, "the body is too long");
                 }
                 return;
             }
-            for (EventSplitter.Event e : splitter.split(bytes)) {
-                Optional<Duration> interval = callStarted ? Optional.of(now.since(lastEventAt)) : Optional.empty();
-                context.dispatcher().eventReceived(target.orElseThrow(), interval, now);
-                callStarted = true;
-                lastEventAt = now;
+            for (EventSplitter.Event e : answer.split(bytes)) {
+                context.dispatcher().eventReceived(target.orElseThrow(), answer.eventReceived(now), now);
                 answeringSince = answeringSince.or(() -> Optional.of(now));
                 if (!response.writeEvent(e)) {
                     from.cancel("event ids are not contiguous");
                     return;
                 }
             }
-            if (splitter.tooLong()) {
+            if (answer.eventTooLong()) {
                 cancelTooLong(from, "an event is too long");
             }
         }
@@ -237,7 +225,7 @@
             }
             call = Optional.empty();
             t = target.orElseThrow();
-            started = callStarted;
+            started = answer.started();
             result = callResult(end);
             if (end == BackendCall.End.BROKEN) {
                 recordBroken(now);
@@ -280,10 +268,12 @@
         if (finished) {
             return Dispatcher.CallResult.NEUTRAL;
         }
-        if (end == BackendCall.End.COMPLETE && callStatus == 503 && callHeaders.contains("Retry-After")) {
+        if (end == BackendCall.End.COMPLETE
+                && answer.status() == 503
+                && answer.headers().contains("Retry-After")) {
             return Dispatcher.CallResult.NEUTRAL;
         }
-        boolean succeeded = end == BackendCall.End.COMPLETE && callStatus < 500;
+        boolean succeeded = end == BackendCall.End.COMPLETE && answer.status() < 500;
         return succeeded ? Dispatcher.CallResult.SUCCEEDED : Dispatcher.CallResult.FAILED;
     }
 
@@ -302,30 +292,26 @@
             return deliver(now);
         }
         String reason =
-                end == BackendCall.End.COMPLETE ? "status " + callStatus + " is not a complete response" : detail;
+                end == BackendCall.End.COMPLETE ? "status " + answer.status() + " is not a complete response" : detail;
         return admission.route().orElseThrow().repeatable()
                 ? retryOrGiveUp(Refusal.BROKEN, true, reason, now)
                 : giveUp(Refusal.BROKEN, reason, now);
     }
 
     private boolean refusedByServer() {
-        return callHeaders.contains(context.headerNames().notRun()) || callStatus == 421;
+        return answer.headers().contains(context.headerNames().notRun()) || answer.status() == 421;
     }
 
     private boolean isCompleteResponse() {
-        boolean stream = admission.streaming() && callStatus == 200;
-        boolean complete = stream ? isCompleteStream() : !response.committed();
-        return complete && callHeaders.contains(context.headerNames().serverStamp());
+        boolean stream = admission.streaming() && answer.status() == 200;
+        boolean complete = stream ? answer.isWholeStream(hasEventsBefore()) : !response.committed();
+        return complete && answer.headers().contains(context.headerNames().serverStamp());
     }
 
-    /** Returns whether a stream has ended as a whole; the end of its connection alone shows nothing before an event. */
-    private boolean isCompleteStream() {
-        boolean framed =
-                callHeaders.contains(HttpHeader.CONTENT_LENGTH) || callHeaders.contains(HttpHeader.TRANSFER_ENCODING);
-        boolean begun = response.lastEventId() >= 0
-                || callStarted
+    /** Returns whether the caller had received events of the stream, from this exchange or before. */
+    private boolean hasEventsBefore() {
+        return response.lastEventId() >= 0
                 || request.getHeaders().contains(context.headerNames().lastEventId());
-        return !splitter.withinEvent() && (framed || begun);
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -174,7 +174,8 @@
                     .toList();
         }
         if (!released.isEmpty()) {
-            log.write("crash", "request completed without crashing its server", "causes", released);
+            released.forEach(
+                    c -> log.write("crash", "request completed without crashing its server", logField(c), c.id()));
             peers.broadcast(
                     released.stream().map(c -> answerNotice(c, now, now)).toList());
         }
@@ -211,6 +212,10 @@
         return result;
     }
 
+    private static String logField(CrashCause cause) {
+        return cause.isPromptPart() ? "part" : "fingerprint";
+    }
+
     private static PeerMessage.CrashNotice answerNotice(CrashCause cause, Moment at, Moment now) {
         return new PeerMessage.CrashNotice(cause, "", "", now.monotonicMillisSince(at));
     }
@@ -376,8 +381,8 @@
             log.write(
                     "crash",
                     "server crashed while running the request: " + cause,
-                    "cause",
-                    c.cause(),
+                    logField(c.cause()),
+                    c.cause().id(),
                     "server",
                     c.server().id(),
                     "born",
@@ -405,8 +410,8 @@
             log.write(
                     "turned-away",
                     "servers crashed each time that they ran it",
-                    "cause",
-                    c.cause(),
+                    logField(c.cause()),
+                    c.cause().id(),
                     "crashes",
                     crashes,
                     "source",
--- a/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
@@ -166,6 +166,22 @@
         assertThat(crashed()).isAtMost(MAX_CRASHES);
     }
 
+    /** A broken connection alone is no crash. */
+    @Test
+    void requestWithANewPartIsRetriedOnceItsServerIsFoundRunning() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawBackend.Script script = (request, out, socket) -> {
+            if (runs.incrementAndGet() == 1) {
+                RawBackend.reset(socket);
+            } else {
+                RawBackend.write(out, plain(request, "done"));
+            }
+        };
+        start(script, script);
+        assertThat(send(platform, "/safe/", "new:40")).isEqualTo(200);
+        assertThat(send(platform, "/safe/", "new:40")).isEqualTo(200);
+    }
+
     @Test
     void concurrentRequestsWithThePartAreNotSentToSecondServers() throws Exception {
         startServers();
