--- a/core/src/main/java/org/baobabspindle/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CauseHistory.java
@@ -14,7 +14,7 @@
 import org.baobabspindle.core.time.Moment;
 
 /** The crashes that one possible cause may have brought about, and its last complete answer. */
-final class CrashHistory {
+final class CauseHistory {
     /** How long a crash counts. */
     static final Duration CRASH_LIFETIME = Duration.ofMinutes(10);
 
@@ -29,7 +29,7 @@
     private Optional<Moment> lastTrialAt = Optional.empty();
     private boolean proofShared;
 
-    CrashHistory(Optional<Moment> servedAt) {
+    CauseHistory(Optional<Moment> servedAt) {
         this.servedAt = servedAt;
     }
 
--- a/core/src/main/java/org/baobabspindle/core/crash/RequestQuarantine.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/RequestQuarantine.java
@@ -48,7 +48,7 @@
     /** The maximum number of tracked causes; reached only after several hundred servers have crashed in ten minutes. */
     private static final int MAX_CAUSES = 5_000;
 
-    private final Map<CrashCause, CrashHistory> histories = new LinkedHashMap<>();
+    private final Map<CrashCause, CauseHistory> histories = new LinkedHashMap<>();
     private final ServedParts servedParts = new ServedParts();
 
     /** Creates a quarantine without crashes. */
@@ -96,8 +96,8 @@
         histories.values().removeIf(h -> h.isExpired(now));
     }
 
-    private CrashHistory history(CrashCause cause) {
-        CrashHistory h = histories.computeIfAbsent(cause, c -> new CrashHistory(servedParts.lastServed(c)));
+    private CauseHistory history(CrashCause cause) {
+        CauseHistory h = histories.computeIfAbsent(cause, c -> new CauseHistory(servedParts.lastServed(c)));
         if (histories.size() > MAX_CAUSES) {
             histories.remove(histories.keySet().iterator().next());
         }
@@ -116,7 +116,7 @@
     }
 
     private List<Moment> countedCrashes(CrashCause cause, Set<BackendServer.Lifetime> excused, Moment now) {
-        CrashHistory h = histories.get(cause);
+        CauseHistory h = histories.get(cause);
         return h == null ? List.of() : h.countedCrashes(excused, now);
     }
 
@@ -129,7 +129,7 @@
      * @return the time of the answer; empty if there is none or the other entries know it
      */
     public Optional<Moment> takeProof(CrashCause part, Moment now) {
-        CrashHistory h = histories.get(part);
+        CauseHistory h = histories.get(part);
         return h != null && isProven(part, now) ? h.takeUnsharedAnswer() : Optional.empty();
     }
 
@@ -163,7 +163,7 @@
 
     /** Returns whether a prompt part was answered shortly before its first crash, or now if it has none. */
     private boolean isProven(CrashCause part, Moment now) {
-        CrashHistory h = histories.get(part);
+        CauseHistory h = histories.get(part);
         Optional<Moment> servedAt = h == null ? servedParts.lastServed(part) : h.servedAt();
         Moment until = countedCrashes(part, Set.of(), now).stream().findFirst().orElse(now);
         return servedAt.filter(at -> until.monotonicMillisSince(at) <= PART_PROOF_LIFETIME.toMillis())
@@ -270,7 +270,7 @@
         Moment last = crashes.get(crashes.size() - 1);
         long span = last.monotonicMillisSince(crashes.get(0));
         boolean certain = crashes.size() >= CONFIRMING_CRASHES && span >= MIN_CRASH_SPAN.toMillis();
-        Duration quarantine = certain ? CrashHistory.CRASH_LIFETIME : SHORT_QUARANTINE;
+        Duration quarantine = certain ? CauseHistory.CRASH_LIFETIME : SHORT_QUARANTINE;
         long left = quarantine.toMillis() - now.monotonicMillisSince(last);
         if (left > 0) {
             return Duration.ofMillis(left);
