--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -42,8 +42,10 @@
     private Optional<BackendCall> call = Optional.empty();
     private Optional<Target> target = Optional.empty();
 
-    // The response to the current call; the headers of a later call for the same stream may differ.
+    /** The response to the current call; the headers of a later call for the same stream may differ. */
     private CallAnswer answer = new CallAnswer();
+
+    /** When the first event arrived, in this call or an earlier one. */
     private Optional<Moment> answeringSince = Optional.empty();
 
     /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
