--- a/core/src/test/java/org/baobabspindle/core/crash/CrashDetectorTests.java
+++ b/core/src/test/java/org/baobabspindle/core/crash/CrashDetectorTests.java
@@ -25,6 +25,9 @@
     private static final BackendServer.Lifetime OTHER_SERVER =
             server("s2", 7002, 1_000).lifetime();
 
+    /** Shortly before a suspicion of a request that broke at the beginning expires. */
+    private static final Moment BEFORE_EXPIRY = at(14_000);
+
     private final CrashDetector detector = new CrashDetector();
 
     private static Moment at(long millis) {
@@ -68,7 +71,8 @@
                 }
             }
             assertThat(probes).isEqualTo(6);
-            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, BEFORE_EXPIRY))
+                    .isEqualTo(1);
         }
 
         @Test
@@ -99,7 +103,8 @@
             assertThat(detector.isCorroborated(SERVER.lifetime())).isFalse();
             assertThat(detector.probeCompleted(SERVER.lifetime(), Liveness.ENDED, at(150)))
                     .isEmpty();
-            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, BEFORE_EXPIRY))
+                    .isEqualTo(1);
         }
 
         @Test
@@ -128,8 +133,9 @@
             assertThat(detector.dueProbes(at(150))).hasSize(1);
             detector.requestBroken(List.of(OTHER), SERVER, at(160));
             detector.probeCompleted(SERVER.lifetime(), Liveness.RUNNING, at(150));
-            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(0);
-            assertThat(detector.unresolvedFailureDomains(OTHER, at(14_000))).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, BEFORE_EXPIRY))
+                    .isEqualTo(0);
+            assertThat(detector.unresolvedFailureDomains(OTHER, BEFORE_EXPIRY)).isEqualTo(1);
             assertThat(detector.dueProbes(at(350))).containsExactly(SERVER);
         }
 
@@ -154,7 +160,8 @@
         void dataSentBeforeTheBreakDoesNotEndTheSuspicion() {
             detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             detector.answerReceived(SERVER.lifetime(), at(80));
-            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, BEFORE_EXPIRY))
+                    .isEqualTo(1);
         }
     }
 
@@ -179,7 +186,8 @@
             detector.requestBroken(List.of(REQUEST), SERVER, at(0));
             assertThat(detector.serversListed(List.of(server("s2", 7002, 4_000))))
                     .isEmpty();
-            assertThat(detector.unresolvedFailureDomains(REQUEST, at(14_000))).isEqualTo(1);
+            assertThat(detector.unresolvedFailureDomains(REQUEST, BEFORE_EXPIRY))
+                    .isEqualTo(1);
         }
 
         @Test
@@ -198,4 +206,11 @@
         assertThat(detector.unresolvedFailureDomains(part, at(1_001))).isEqualTo(0);
         assertThat(detector.unresolvedFailureDomains(REQUEST, at(1_001))).isEqualTo(1);
     }
+
+    @Test
+    void silentServerCountsAgainstARequestForFifteenSeconds() {
+        detector.requestBroken(List.of(REQUEST), SERVER, at(0));
+        assertThat(detector.unresolvedFailureDomains(REQUEST, at(15_000))).isEqualTo(1);
+        assertThat(detector.unresolvedFailureDomains(REQUEST, at(15_001))).isEqualTo(0);
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -37,7 +37,7 @@
     private static final Duration PROBE_TIMEOUT = SuspectGroupProber.PROBE_TIMEOUT;
 
     /** The expected number of entries that tell of their answers with a prompt part after its first crash. */
-    private static final int MAX_PROOFS = 8;
+    private static final int EXPECTED_PROOFS = 8;
 
     private final FleetTable fleet;
     private final EnginePort engines;
@@ -47,39 +47,10 @@
     private final RandomGenerator random;
     private final CrashDetector detector = new CrashDetector();
     private final RequestQuarantine quarantine = new RequestQuarantine();
-    private volatile Peers peers = Peers.NONE;
+    private volatile CrashPeers peers = CrashPeers.NONE;
     private volatile boolean investigating;
     private volatile boolean tracking;
 
-    /** Communicates with the other entries. */
-    interface Peers {
-        Peers NONE = new Peers() {
-            @Override
-            public void broadcast(List<PeerMessage.CrashNotice> notices) {
-                // There are no peers.
-            }
-
-            @Override
-            public int entries() {
-                return 1;
-            }
-
-            @Override
-            public boolean retriesHere(CrashCause cause, Moment now) {
-                return true;
-            }
-        };
-
-        /** Broadcasts crash notices to the other entries. */
-        void broadcast(List<PeerMessage.CrashNotice> notices);
-
-        /** Returns the number of entries, this one included. */
-        int entries();
-
-        /** Returns whether this entry, among those that respond, is the one that retries a quarantined cause. */
-        boolean retriesHere(CrashCause cause, Moment now);
-    }
-
     CrashGuard(
             FleetTable fleet,
             EnginePort engines,
@@ -95,7 +66,7 @@
         this.random = random;
     }
 
-    void peers(Peers newPeers) {
+    void peers(CrashPeers newPeers) {
         peers = newPeers;
     }
 
@@ -404,7 +375,7 @@
             proof = quarantine.takeProof(c.cause(), now);
             tracking = true;
         }
-        proof.filter(p -> random.nextInt(peers.entries()) < MAX_PROOFS)
+        proof.filter(p -> random.nextInt(peers.entries()) < EXPECTED_PROOFS)
                 .ifPresent(p -> peers.broadcast(List.of(answerNotice(c.cause(), p, now))));
         if (quarantined) {
             log.write(
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -16,7 +16,7 @@
 import org.baobabspindle.peer.PeerMessage;
 
 /** Exchanges state with other entries: composes the state that this entry sends and applies what it receives. */
-final class GatewayGossip implements CrashGuard.Peers {
+final class GatewayGossip implements CrashPeers {
     private final EntryAnnouncement self;
     private final GatewayContext context;
     private final PeerMesh mesh;
--- a/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingPromptPartTests.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -12,13 +11,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests requests, no two alike, that share a prompt part which crashes each server that begins to answer them. */
-class CrashingPromptPartTests extends GatewayTestSupport {
+class CrashingPromptPartTests extends TwoEntryTestSupport {
     private static final int SERVERS = 14;
 
     /** The number of crashes after which further requests with the part count against the budget of the users. */
@@ -30,24 +28,11 @@
     private static final String DEADLY = "dead";
 
     private final AtomicInteger requests = new AtomicInteger();
-    private GatewayNode otherNode;
-    private FakePlatform otherPlatform;
-
-    @AfterEach
-    void shutDownOtherNode() throws Exception {
-        if (otherNode != null) {
-            otherNode.shutDown();
-        }
-    }
 
     private void startServers() throws Exception {
         RawBackend.Script script = (request, out, socket) -> {
             if (RawBackend.header(request, "Parts").contains(DEADLY)) {
-                backends.stream()
-                        .filter(b -> b.port() == socket.getLocalPort())
-                        .findFirst()
-                        .orElseThrow()
-                        .crash();
+                backendOf(socket.getLocalPort()).crash();
             } else {
                 RawBackend.write(out, plain(request, "done"));
             }
@@ -55,23 +40,6 @@
         start(Collections.nCopies(SERVERS, script).toArray(RawBackend.Script[]::new));
     }
 
-    private void startOtherNode() throws Exception {
-        otherPlatform = new FakePlatform("other", platform);
-        otherNode = GatewayNode.open(otherPlatform);
-        await(() -> status(otherPlatform.readinessUrl()) == 200);
-        await(() -> knownEntries(platform) == 2 && knownEntries(otherPlatform) == 2);
-    }
-
-    private int knownEntries(FakePlatform entry) {
-        try {
-            HttpRequest ask =
-                    HttpRequest.newBuilder(URI.create(entry.directoryUrl())).build();
-            return http.send(ask, HttpResponse.BodyHandlers.ofString()).body().split(",").length;
-        } catch (IOException | InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private HttpRequest request(FakePlatform entry, String path, String sharedParts) {
         int number = requests.incrementAndGet();
         return HttpRequest.newBuilder(URI.create(entry.callersUrl() + path + number))
@@ -82,14 +50,8 @@
                 .build();
     }
 
-    /** Sends a request and returns the status; a connection that breaks counts as 502. */
     private int send(FakePlatform entry, String path, String sharedParts) throws InterruptedException {
-        try {
-            return http.send(request(entry, path, sharedParts), HttpResponse.BodyHandlers.ofString())
-                    .statusCode();
-        } catch (IOException e) {
-            return 502;
-        }
+        return statusOf(request(entry, path, sharedParts));
     }
 
     private int sendDeadly(FakePlatform entry, String path) throws InterruptedException {
@@ -100,10 +62,6 @@
         return send(entry, "/safe/", "common:40");
     }
 
-    private int crashed() {
-        return (int) backends.stream().filter(RawBackend::crashed).count();
-    }
-
     @ParameterizedTest
     @ValueSource(strings = {"/unsafe/", "/safe/", "/stream/"})
     void newRequestsWithThePartCrashFewServers(String path) throws Exception {
--- a/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CrashingRequestTests.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -17,14 +16,13 @@
 import org.baobabspindle.core.id.RequestFingerprint;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.peer.PeerMessage;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the quarantine of a request that crashes each server that runs it and is retried at any entry under new ids. */
-class CrashingRequestTests extends GatewayTestSupport {
+class CrashingRequestTests extends TwoEntryTestSupport {
     private static final int SERVERS = 9;
 
     /** The number of servers that a request may crash before it is quarantined. */
@@ -36,15 +34,6 @@
     private static final String CRASHING = "crash";
 
     private final AtomicInteger attempts = new AtomicInteger();
-    private GatewayNode otherNode;
-    private FakePlatform otherPlatform;
-
-    @AfterEach
-    void shutDownOtherNode() throws Exception {
-        if (otherNode != null) {
-            otherNode.shutDown();
-        }
-    }
 
     private void startServers() throws Exception {
         RawBackend.Script script = (request, out, socket) -> {
@@ -58,30 +47,6 @@
         start(Collections.nCopies(SERVERS, script).toArray(RawBackend.Script[]::new));
     }
 
-    private RawBackend backendOf(int port) {
-        return backends.stream().filter(b -> b.port() == port).findFirst().orElseThrow();
-    }
-
-    private void startOtherNode() throws Exception {
-        otherPlatform = new FakePlatform("other", platform);
-        otherNode = GatewayNode.open(otherPlatform);
-        await(() -> status(otherPlatform.readinessUrl()) == 200);
-        await(() -> addresses(platform).size() == 2 && addresses(otherPlatform).size() == 2);
-    }
-
-    private List<String> addresses(FakePlatform entry) {
-        try {
-            return List.of(http.send(
-                            HttpRequest.newBuilder(URI.create(entry.directoryUrl()))
-                                    .build(),
-                            HttpResponse.BodyHandlers.ofString())
-                    .body()
-                    .split(","));
-        } catch (IOException | InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private HttpRequest attempt(FakePlatform entry, String path, String key, String body) {
         return HttpRequest.newBuilder(URI.create(entry.callersUrl() + path))
                 .header("Id", "attempt" + attempts.incrementAndGet())
@@ -90,18 +55,8 @@
                 .build();
     }
 
-    /** Sends a request and returns the status; a connection that breaks counts as 502. */
     private int send(FakePlatform entry, String path, String key, String body) throws InterruptedException {
-        try {
-            return http.send(attempt(entry, path, key, body), HttpResponse.BodyHandlers.ofString())
-                    .statusCode();
-        } catch (IOException e) {
-            return 502;
-        }
-    }
-
-    private int crashed() {
-        return (int) backends.stream().filter(RawBackend::crashed).count();
+        return statusOf(attempt(entry, path, key, body));
     }
 
     @ParameterizedTest
