--- a/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -46,6 +46,11 @@
         return interval;
     }
 
+    /** Returns the time since the last event; empty before the first one. */
+    Optional<Duration> silence(Moment now) {
+        return lastEventAt.map(now::since);
+    }
+
     /** Returns whether an event has been received. */
     boolean started() {
         return lastEventAt.isPresent();
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -504,6 +504,7 @@
             "tried", tried.size(),
             "waitedMs", waitedMillis,
             "totalMs", now.monotonicMillisSince(receivedAt),
+            "silentMs", answer.silence(now).map(Duration::toMillis).orElse(-1L),
             "version", context.fleet().version(),
             "versionAgeMs",
                     context.fleet()
