--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -0,0 +1,53 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests that no stream is cut off because a server is silent for a while and then continues: the heads of groups are silent
+ * between two events, and do not answer probes.
+ */
+class SilentServerTests extends EngineGroupTestSupport {
+    private static final Duration SILENCE = Duration.ofMillis(1_200);
+    private static final String WHOLE_STREAM = event(1) + event(2) + event(3);
+
+    private static final RawBackend.Script SILENT_ONCE = (request, out, socket) -> {
+        String last = RawBackend.header(request, "Last-Event-Id");
+        int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+        RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")) + chunk(event(next)));
+        Thread.sleep(SILENCE.toMillis());
+        for (int i = next + 1; i <= 3; i++) {
+            RawBackend.write(out, chunk(event(i)));
+        }
+        RawBackend.write(out, "0\r\n\r\n");
+    };
+
+    private void assertStreamIsWhole() throws Exception {
+        HttpResponse<String> answer = sendStream();
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo(WHOLE_STREAM);
+    }
+
+    @Test
+    void streamOfSilentServerIsNotCutOffWithoutAnotherGroup() throws Exception {
+        startGroups(Streams.RESUMABLE, List.of("d1"), SILENT_ONCE);
+        assertStreamIsWhole();
+        assertThat(backends.get(0).requests()).hasSize(1);
+    }
+
+    @Test
+    void streamThatCannotBeResumedIsNotCutOffWhileItsServerIsSilent() throws Exception {
+        startGroups(Streams.NOT_RESUMABLE, List.of("d1", "d2"), SILENT_ONCE);
+        assertStreamIsWhole();
+    }
+
+    @Test
+    void streamWithoutFurtherAttemptsIsNotCutOffWhileItsServerIsSilent() throws Exception {
+        startGroups(Streams.RESUMABLE, List.of("d1", "d2", "d3"), SILENT_ONCE);
+        assertStreamIsWhole();
+    }
+}
