--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -3,10 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.Set;
-import org.baobabspindle.core.dispatch.Target;
-import org.baobabspindle.core.fleet.BackendServer;
+import java.util.concurrent.atomic.AtomicReference;
 import org.baobabspindle.port.ForwardingHeaders;
-import org.baobabspindle.port.ResponseHead;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -15,7 +13,10 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 
-/** One request that is sent to a backend server, and its response. The listener is always called on a worker thread. */
+/**
+ * One request that is sent to a backend server or through another entry, and its response. The listener is always called
+ * on a worker thread.
+ */
 final class BackendCall implements Response.Listener {
     /** Headers that apply to a single connection, or that the HTTP client sets itself. */
     private static final Set<String> HOP_BY_HOP = Set.of(
@@ -30,13 +31,14 @@
             "expect",
             "accept-encoding");
 
-    private final BackendServer server;
-    private final ServerNotices notices;
+    /** Headers that are set anew, or that apply between entries. */
+    private static final Set<String> NOT_FORWARDED = Set.of("host", RelayMark.HEADER.toLowerCase(Locale.ROOT));
+
+    private final Destination destination;
     private final Listener listener;
-    private final ForwardingHeaders headerNames;
     private final String requestId;
     private final Request request;
-    private volatile boolean sent;
+    private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.UNSENT);
     private volatile boolean cancelled;
     private boolean mismatched;
 
@@ -52,6 +54,12 @@
         void ended(BackendCall call, End end, String detail);
     }
 
+    private enum Progress {
+        UNSENT,
+        SENT,
+        WITHDRAWN
+    }
+
     /** How a call ended. */
     enum End {
         /** The complete response was received. */
@@ -97,40 +105,31 @@
 
     BackendCall(
             HttpClient client,
-            Target target,
+            Destination destination,
             Message message,
             GatewayHeaders gatewayHeaders,
             ForwardingHeaders names,
-            ServerNotices notices,
             Listener listener) {
-        this.server = target.server();
-        this.notices = notices;
+        this.destination = destination;
         this.listener = listener;
-        this.headerNames = names;
         this.requestId = message.headers().get(names.requestId());
-        this.request = client.newRequest(target.server().host(), target.server().port())
+        this.request = client.newRequest(destination.host(), destination.port())
                 .method(message.method())
                 .path(message.pathAndQuery());
         request.headers(h -> {
             Set<String> replaced = names.replacedHeaders();
             for (HttpField f : message.headers()) {
                 String name = f.getName().toLowerCase(Locale.ROOT);
-                if (!HOP_BY_HOP.contains(name) && !replaced.contains(name) && !name.equals("host")) {
+                if (!HOP_BY_HOP.contains(name) && !replaced.contains(name) && !NOT_FORWARDED.contains(name)) {
                     h.add(f);
                 }
             }
             h.put("Host", message.host());
-            h.put(names.expectedInstance(), target.server().id().value());
             h.put(names.remainingMillis(), String.valueOf(gatewayHeaders.timeLeftMillis()));
-            if (!gatewayHeaders.account().isEmpty()) {
-                h.put(names.account(), gatewayHeaders.account());
-            }
-            if (gatewayHeaders.priority() >= 0) {
-                h.put(names.priority(), String.valueOf(gatewayHeaders.priority()));
-            }
             if (!gatewayHeaders.lastEventId().isEmpty()) {
                 h.put(names.lastEventId(), gatewayHeaders.lastEventId());
             }
+            destination.setHeaders(h, message.headers(), gatewayHeaders);
         });
         if (message.body().hasRemaining()) {
             request.body(
@@ -138,16 +137,32 @@
         }
     }
 
-    BackendServer server() {
-        return server;
+    Destination destination() {
+        return destination;
+    }
+
+    /** Returns whether the request may have been sent. */
+    boolean isSent() {
+        return progress.get() == Progress.SENT;
     }
 
     void send() {
-        request.onRequestBegin(r -> sent = true);
+        request.onRequestBegin(r -> {
+            if (!progress.compareAndSet(Progress.UNSENT, Progress.SENT)) {
+                r.abort(new CancelledException("request was withdrawn"));
+            }
+        });
         request.send(this);
     }
 
-    /** Cancels the call by closing the connection to the backend server. */
+    /** Cancels the call unless it has been sent; it then ends as {@link End#NOT_SENT}. */
+    void withdraw(String reason) {
+        if (progress.compareAndSet(Progress.UNSENT, Progress.WITHDRAWN)) {
+            request.abort(new CancelledException(reason));
+        }
+    }
+
+    /** Cancels the call by closing its connection. */
     void cancel(String reason) {
         cancelled = true;
         request.abort(new CancelledException(reason));
@@ -165,17 +180,13 @@
     @Override
     public void onHeaders(Response response) {
         HttpFields headers = response.getHeaders();
-        notices.responseReceived(
-                server, ResponseHead.of(response.getStatus(), headers, headerNames.leaving(), headerNames.rateLimit()));
-        String echoed = response.getHeaders().get(headerNames.requestId());
-        boolean refusal = response.getHeaders().contains(headerNames.notRun()) || response.getStatus() == 421;
-        if (requestId != null && !requestId.equals(echoed) && !(echoed == null && refusal)) {
+        if (!destination.headReceived(response.getStatus(), headers, requestId)) {
             mismatched = true;
             cancelled = true;
-            response.abort(new CancelledException("response belongs to another request: " + echoed));
+            response.abort(new CancelledException("response belongs to another request"));
             return;
         }
-        listener.headers(this, response.getStatus(), response.getHeaders());
+        listener.headers(this, response.getStatus(), headers);
     }
 
     @Override
@@ -191,7 +202,7 @@
             listener.ended(this, End.COMPLETE, "");
         } else {
             End failure = cancelled ? End.CANCELLED : End.BROKEN;
-            listener.ended(this, sent ? failure : End.NOT_SENT, String.valueOf(result.getFailure()));
+            listener.ended(this, isSent() ? failure : End.NOT_SENT, String.valueOf(result.getFailure()));
         }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -30,6 +30,7 @@
     private final Request request;
     private final Moment receivedAt;
     private final String apiKey;
+    private final Optional<RelayMark> mark;
     private final List<PromptPart> sharedParts;
     private Optional<Route> route = Optional.empty();
     private Optional<TargetPool> pool = Optional.empty();
@@ -44,12 +45,17 @@
         this.deadline = receivedAt.plus(UNROUTED_TIMEOUT);
         String key = request.getHeaders().get(context.headerNames().apiKey());
         this.apiKey = key == null ? "" : key;
+        this.mark = context.relay()
+                .mark(
+                        request.getHeaders(),
+                        request.getHeaders().get(context.headerNames().requestId()));
         this.sharedParts = PromptPart.sharedParts(
                 request.getHeaders().get(context.headerNames().promptParts()));
     }
 
     /**
-     * Checks a request; returns why it is refused, or empty if it is admitted.
+     * Checks a request, except whether a backend server can take it; returns why it is refused, or empty if it is
+     * admitted.
      *
      * @param content the whole body of the request
      */
@@ -74,14 +80,18 @@
         }
         deadline = receivedAt.plus(timeout(route.get()));
         pool = Optional.of(choosePool(configuration, route.get()));
-        refusal = checkQuarantine(now);
+        return context.stopping().refusesNewRequests(streaming(), now)
+                ? Optional.of(Refusal.STOPPING)
+                : Optional.empty();
+    }
+
+    /** Checks whether this entry may send an admitted request, and can send it in time. */
+    Optional<Refusal> checkDispatch(Moment now) {
+        Optional<Refusal> refusal = checkQuarantine(now);
         if (refusal.isPresent()) {
             return refusal;
         }
-        if (context.stopping().refusesNewRequests(streaming(), now)) {
-            return Optional.of(Refusal.STOPPING);
-        }
-        Duration wait = context.dispatcher().predictedWait(pool.get(), context.entryCount(), now);
+        Duration wait = context.dispatcher().predictedWait(pool.orElseThrow(), context.entryCount(), now);
         boolean tooLate = !now.plus(wait).isBefore(waitLimits().giveUpAt());
         return tooLate ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
     }
@@ -153,6 +163,17 @@
         return route;
     }
 
+    /** Returns whether another entry relays the request. */
+    boolean relayed() {
+        return mark.isPresent();
+    }
+
+    /** Returns the number of backend servers that may run the request. */
+    int maxAttempts() {
+        int allowed = route.orElseThrow().maxAttempts();
+        return mark.map(m -> Math.min(m.attempts(), allowed)).orElse(allowed);
+    }
+
     Optional<TargetPool> pool() {
         return pool;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -2,13 +2,10 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import org.baobabspindle.core.dispatch.RelayPolicy;
 import org.baobabspindle.core.dispatch.Target;
-import org.baobabspindle.core.dispatch.TargetPool;
-import org.baobabspindle.core.fleet.Route;
 import org.baobabspindle.core.time.Moment;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
@@ -16,8 +13,8 @@
 import org.eclipse.jetty.util.Callback;
 
 /**
- * Processes one request of a caller, from its arrival to the final response. A request has at most one call to a
- * backend server at a time; events of earlier calls are ignored.
+ * Processes one request of a caller, from its arrival to the final response. A request has at most one call at a time, to
+ * a backend server or another entry; events of earlier calls are ignored.
  */
 final class CallerExchange implements BackendCall.Listener {
     /**
@@ -26,21 +23,20 @@
      */
     private static final Duration HARMLESS_ANSWER = Duration.ofMillis(100);
 
-    /** The number of targets that may refuse a request or be unreachable before it is given up. */
-    private static final int MAX_REFUSALS = 3;
-
     private final GatewayContext context;
     private final Request request;
-    private final Moment receivedAt;
     private final CallerAdmission admission;
     private final CallerResponse response;
-    private final Set<String> tried = new HashSet<>();
     private final ResponseBuffer bufferedBody;
+    private final RequestProgress progress;
+    private final ExchangeLog log;
 
     private byte[] body = new byte[0];
     private Optional<Dispatcher.Ticket> ticket = Optional.empty();
     private Optional<BackendCall> call = Optional.empty();
-    private Optional<Target> target = Optional.empty();
+
+    /** The destination of the current call or else of the last one. */
+    private Optional<Destination> destination = Optional.empty();
 
     /** The response to the current call; the headers of a later call for the same stream may differ. */
     private CallAnswer answer = new CallAnswer();
@@ -51,27 +47,33 @@
     /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
     private Optional<PendingRetry> pendingRetry = Optional.empty();
 
+    /** The time after which the caller may retry, as stated by the entry that refused the relayed request. */
+    private Optional<Duration> retryAfterOfEntry = Optional.empty();
+
     private boolean finished;
-    private boolean mayHaveRun;
-    private int attempts;
-    private int refusals;
+
+    /** Whether the call was cancelled to be repeated through another entry. */
+    private boolean moving;
+
     private long waitedMillis;
     private Moment waitingSince;
-    private Moment sentAt;
+    private Moment lastReceivedAt;
 
     CallerExchange(GatewayContext context, Request request, Response response, Callback callback, Moment now) {
         this.context = context;
         this.request = request;
-        this.receivedAt = now;
         this.bufferedBody = new ResponseBuffer(context.bufferBudget());
         this.waitingSince = now;
+        this.lastReceivedAt = now;
         this.admission = new CallerAdmission(context, request, now);
+        this.progress = new RequestProgress(context, admission);
+        this.log = new ExchangeLog(context, admission, progress, id(), now);
         this.response = new CallerResponse(
                 context, response, new CallerResponseWriter(response, callback, this::callerDisconnected));
     }
 
     /**
-     * Checks the request and requests a target for it, or refuses it.
+     * Checks the request and finds a destination for it, or refuses it.
      *
      * @param content the whole body of the request
      */
@@ -79,72 +81,126 @@
         synchronized (this) {
             body = content;
             Optional<Refusal> refusal = admission.check(content, now);
-            admission.pool().ifPresent(p -> context.dispatcher().requestArrived(p, now));
+            if (!admission.relayed()) {
+                admission.pool().ifPresent(p -> context.dispatcher().requestArrived(p, now));
+            }
+            if (refusal.isEmpty() && choosePath(now) == RelayPolicy.Path.DIRECT) {
+                refusal = admission.checkDispatch(now);
+            }
             if (refusal.isPresent()) {
                 refuse(refusal.get(), "", now);
                 return;
             }
         }
-        requestTarget(now);
+        findDestination(now);
+    }
+
+    private RelayPolicy.Path choosePath(Moment now) {
+        return progress.choosePath(response.committed(), now);
     }
 
-    /** Queues the request for a target. */
-    private void requestTarget(Moment now) {
-        Dispatcher.Ticket t;
+    /** Queues the request for a target, or relays it. */
+    private void findDestination(Moment now) {
+        Runnable next;
         synchronized (this) {
             if (finished) {
                 return;
             }
-            waitingSince = now;
-            t = new Dispatcher.Ticket(
-                    admission.pool().orElseThrow(),
-                    response.committed() ? 0 : admission.priority(),
-                    attempts + refusals > 0 ? admission.retryWaitLimits(now) : admission.waitLimits(),
-                    tried,
-                    this::sendTo,
-                    this::waitExpired);
-            ticket = Optional.of(t);
+            next = switch (choosePath(now)) {
+                case DIRECT -> queue(now);
+                case RELAY -> relay(now);
+                case NONE -> {
+                    refuse(Refusal.PARTITIONED, "no server can be reached", now);
+                    yield () -> {};
+                }
+            };
         }
-        context.dispatcher().submit(t, now);
+        next.run();
+    }
+
+    /** Returns the action that queues the request, to be run without the lock. */
+    private Runnable queue(Moment now) {
+        waitingSince = now;
+        Dispatcher.Ticket t = new Dispatcher.Ticket(
+                admission.pool().orElseThrow(),
+                response.committed() ? 0 : admission.priority(),
+                progress.hasBeenSent() ? admission.retryWaitLimits(now) : admission.waitLimits(),
+                progress.triedTargets(),
+                this::sendTo,
+                this::waitExpired);
+        ticket = Optional.of(t);
+        return () -> context.dispatcher().submit(t, now);
+    }
+
+    /** Returns the action that relays the request, to be run without the lock. */
+    private Runnable relay(Moment now) {
+        Optional<Refusal> refusal = checkDeadline(now).or(() -> admission.checkKey(now));
+        if (refusal.isPresent()) {
+            refuse(refusal.get(), "before it was relayed", now);
+            return () -> {};
+        }
+        EntryDestination to = progress.relay();
+        log.relayed("no server can be reached", to);
+        return call(to, now);
     }
 
     /** Sends the request to a target, after repeating the checks whose outcome may have changed while it waited. */
     private void sendTo(Target t) {
         Moment now = context.clock().now();
-        BackendCall next;
+        ServerDestination to =
+                new ServerDestination(context, t, admission.pool().orElseThrow(), admission.streaming());
+        Runnable next;
         synchronized (this) {
             ticket = Optional.empty();
             waitedMillis += now.monotonicMillisSince(waitingSince);
-            Optional<Refusal> refusal = finished ? Optional.of(Refusal.NOT_RUN) : checkBeforeSend(now);
+            boolean direct = finished || choosePath(now) == RelayPolicy.Path.DIRECT;
+            Optional<Refusal> refusal = finished ? Optional.of(Refusal.NOT_RUN) : Optional.empty();
+            if (direct && refusal.isEmpty()) {
+                refusal = checkBeforeSend(now);
+            }
             if (refusal.isPresent()) {
-                context.dispatcher()
-                        .ended(admission.pool().orElseThrow(), t, false, false, Dispatcher.CallResult.NEUTRAL, now);
+                to.ended(false, Dispatcher.CallResult.NEUTRAL, now);
                 refuse(refusal.get(), "while waiting for a target", now);
                 return;
             }
-            target = Optional.of(t);
-            sentAt = now;
-            tried.add(t.key());
-            answer = new CallAnswer();
-            next = new BackendCall(
-                    context.client(),
-                    t,
-                    BackendCall.Message.of(request, body),
-                    gatewayHeaders(now),
-                    context.headerNames(),
-                    context.notices(),
-                    this);
-            call = Optional.of(next);
+            next = direct
+                    ? call(to, now)
+                    : () -> {
+                        to.ended(false, Dispatcher.CallResult.NEUTRAL, now);
+                        findDestination(now);
+                    };
         }
-        context.dispatcher().sent(t, admission.streaming(), now);
-        next.send();
+        next.run();
+    }
+
+    /** Begins a call; returns the action that sends it, to be run without the lock. */
+    private Runnable call(Destination to, Moment now) {
+        destination = Optional.of(to);
+        lastReceivedAt = now;
+        progress.sendingTo(to);
+        answer = new CallAnswer();
+        BackendCall next = new BackendCall(
+                context.client(),
+                to,
+                BackendCall.Message.of(request, body),
+                gatewayHeaders(now),
+                context.headerNames(),
+                this);
+        call = Optional.of(next);
+        return () -> {
+            to.sent(now);
+            next.send();
+        };
     }
 
     private Optional<Refusal> checkBeforeSend(Moment now) {
-        if (!now.isBefore(admission.deadline())) {
-            return Optional.of(mayHaveRun ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY);
-        }
-        return admission.checkBeforeSend(now);
+        return checkDeadline(now).or(() -> admission.checkBeforeSend(now));
+    }
+
+    private Optional<Refusal> checkDeadline(Moment now) {
+        return now.isBefore(admission.deadline())
+                ? Optional.empty()
+                : Optional.of(progress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY);
     }
 
     private BackendCall.GatewayHeaders gatewayHeaders(Moment now) {
@@ -160,10 +216,12 @@
 
     @Override
     public void headers(BackendCall from, int newStatus, HttpFields headers) {
+        Moment now = context.clock().now();
         synchronized (this) {
             if (isStale(from)) {
                 return;
             }
+            lastReceivedAt = now;
             answer.head(newStatus, headers);
             response.setHead(newStatus, headers);
             bufferedBody.clear();
@@ -171,14 +229,7 @@
     }
 
     private void cancelTooLong(BackendCall from, String reason) {
-        context.log()
-                .write(
-                        "broken",
-                        reason,
-                        "request",
-                        id(),
-                        "server",
-                        target.orElseThrow().server().id());
+        log.broken(reason, from.destination());
         from.cancel(reason);
     }
 
@@ -189,11 +240,12 @@
     @Override
     public void content(BackendCall from, ByteBuffer bytes) {
         Moment now = context.clock().now();
-        context.quarantine().answerReceived(from.server(), now);
+        from.destination().bytesReceived(now);
         synchronized (this) {
             if (isStale(from)) {
                 return;
             }
+            lastReceivedAt = now;
             if (!admission.streaming() || answer.status() != 200) {
                 if (!bufferedBody.add(bytes)) {
                     cancelTooLong(from, "the body is too long");
@@ -201,7 +253,7 @@
                 return;
             }
             for (EventSplitter.Event e : answer.split(bytes)) {
-                context.dispatcher().eventReceived(target.orElseThrow(), answer.eventReceived(now), now);
+                from.destination().eventReceived(answer.eventReceived(now), now);
                 answeringSince = answeringSince.or(() -> Optional.of(now));
                 if (!response.writeEvent(e)) {
                     from.cancel("event ids are not contiguous");
@@ -218,7 +270,6 @@
     public void ended(BackendCall from, BackendCall.End end, String detail) {
         Moment now = context.clock().now();
         NextStep step;
-        Target t;
         boolean started;
         Dispatcher.CallResult result;
         synchronized (this) {
@@ -226,7 +277,6 @@
                 return;
             }
             call = Optional.empty();
-            t = target.orElseThrow();
             started = answer.started();
             result = callResult(end);
             if (end == BackendCall.End.BROKEN) {
@@ -234,13 +284,9 @@
             }
             step = finished ? NextStep.NONE : nextStep(end, detail, now);
         }
-        if (result == Dispatcher.CallResult.SUCCEEDED) {
-            context.dispatcher()
-                    .requestServed(admission.pool().orElseThrow(), Duration.ofMillis(now.monotonicMillisSince(sentAt)));
-        }
-        context.dispatcher().ended(admission.pool().orElseThrow(), t, admission.streaming(), started, result, now);
-        if (step == NextStep.FIND_TARGET) {
-            requestTarget(now);
+        from.destination().ended(started, result, now);
+        if (step == NextStep.FIND_DESTINATION) {
+            findDestination(now);
         }
     }
 
@@ -248,22 +294,13 @@
         boolean answering = answeringSince
                 .filter(since -> now.since(since).compareTo(HARMLESS_ANSWER) > 0)
                 .isPresent();
-        context.quarantine()
-                .requestBroken(
-                        admission.suspect(),
-                        answering,
-                        id(),
-                        target.orElseThrow().server(),
-                        now);
-    }
-
-    private String service() {
-        return admission.pool().orElseThrow().service();
+        destination.flatMap(Destination::server).ifPresent(s -> context.quarantine()
+                .requestBroken(admission.suspect(), answering, id(), s, now));
     }
 
     private enum NextStep {
         NONE,
-        FIND_TARGET
+        FIND_DESTINATION
     }
 
     private Dispatcher.CallResult callResult(BackendCall.End end) {
@@ -280,24 +317,52 @@
     }
 
     private NextStep nextStep(BackendCall.End end, String detail, Moment now) {
+        Destination from = destination.orElseThrow();
+        boolean moved = moving && end == BackendCall.End.CANCELLED;
+        moving = false;
+        Optional<Refusal> refusalOfEntry = from.entry().flatMap(e -> RelayMark.refusal(answer.headers()));
+        if (end == BackendCall.End.COMPLETE && refusalOfEntry.isPresent()) {
+            return refusedByEntry(from, refusalOfEntry.get(), now);
+        }
         if (end == BackendCall.End.COMPLETE && refusedByServer()) {
-            refusals++;
+            progress.recordRefusal();
             return retryOrGiveUp(Refusal.NOT_RUN, true, "backend server did not run the request", now);
         }
         if (end == BackendCall.End.NOT_SENT) {
-            refusals++;
+            progress.recordUnreachable(from);
             return retryOrGiveUp(Refusal.NOT_RUN, false, detail, now);
         }
-        attempts++;
-        mayHaveRun = true;
+        progress.recordAttempt();
         if (end == BackendCall.End.COMPLETE && isCompleteResponse()) {
             return deliver(now);
         }
+        if (moved) {
+            return retry("this entry is partitioned from backend servers");
+        }
+        progress.recordFailure(from);
         String reason =
                 end == BackendCall.End.COMPLETE ? "status " + answer.status() + " is not a complete response" : detail;
-        return admission.route().orElseThrow().repeatable()
-                ? retryOrGiveUp(Refusal.BROKEN, true, reason, now)
-                : giveUp(Refusal.BROKEN, reason, now);
+        return repeatOrGiveUp(Refusal.BROKEN, reason, now);
+    }
+
+    private NextStep refusedByEntry(Destination entry, Refusal refusal, Moment now) {
+        String reason = entry.key() + " refused the request: " + refusal;
+        if (refusal.mayHaveRun()) {
+            progress.recordAttempt();
+            return repeatOrGiveUp(refusal, reason, now);
+        }
+        progress.recordFailure(entry);
+        if (refusal.specificToEntry() || response.committed()) {
+            return retryOrGiveUp(refusal, false, reason, now);
+        }
+        retryAfterOfEntry =
+                Optional.ofNullable(answer.headers().get("Retry-After")).flatMap(ServerNotices::parseSeconds);
+        return giveUp(refusal, reason, now);
+    }
+
+    /** Retries a request that may have run if its route allows that, else gives up. */
+    private NextStep repeatOrGiveUp(Refusal otherwise, String reason, Moment now) {
+        return progress.isRepeatable() ? retryOrGiveUp(otherwise, true, reason, now) : giveUp(otherwise, reason, now);
     }
 
     private boolean refusedByServer() {
@@ -323,41 +388,22 @@
      * @param budgeted whether the retry is taken out of the retry budget
      */
     private NextStep retryOrGiveUp(Refusal otherwise, boolean budgeted, String reason, Moment now) {
-        if (context.quarantine().awaitsInvestigation(admission::suspect, now)) {
+        RelayPolicy.Path path = choosePath(now);
+        if (path == RelayPolicy.Path.DIRECT && context.quarantine().awaitsInvestigation(admission::suspect, now)) {
             pendingRetry = Optional.of(new PendingRetry(otherwise, budgeted, reason));
             return NextStep.NONE;
         }
         pendingRetry = Optional.empty();
-        boolean allowed = attempts < admission.route().orElseThrow().maxAttempts()
-                && refusals < MAX_REFUSALS
-                && now.isBefore(admission.deadline())
-                && admission.checkQuarantine(now).isEmpty()
-                && (!budgeted || context.tryRetry(service(), now));
-        if (!allowed) {
-            return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, reason, now);
-        }
-        logRetry(reason);
-        return NextStep.FIND_TARGET;
+        return progress.tryRetry(path, budgeted, now)
+                ? retry(reason)
+                : giveUp(progress.mayHaveRun() ? Refusal.BROKEN : otherwise, reason, now);
     }
 
     private record PendingRetry(Refusal otherwise, boolean budgeted, String reason) {}
 
-    private void logRetry(String reason) {
-        String after = target.map(Target::key).orElse("");
-        context.log()
-                .write(
-                        "retry",
-                        reason,
-                        "request",
-                        id(),
-                        "after",
-                        after,
-                        "runs",
-                        attempts,
-                        "lastEvent",
-                        response.lastEventId(),
-                        "entries",
-                        context.entryCount());
+    private NextStep retry(String reason) {
+        log.retry(reason, destination, response.lastEventId());
+        return NextStep.FIND_DESTINATION;
     }
 
     private NextStep giveUp(Refusal refusal, String reason, Moment now) {
@@ -368,15 +414,8 @@
     private NextStep deliver(Moment now) {
         boolean succeeded = response.status() == 200;
         context.quarantine().served(admission::suspect, succeeded ? admission.sharedParts() : List.of(), now);
-        boolean retryServerError = response.status() >= 500
-                && admission.route().orElseThrow().repeatable()
-                && !response.committed()
-                && attempts < admission.route().orElseThrow().maxAttempts()
-                && now.isBefore(admission.deadline())
-                && context.tryRetry(service(), now);
-        if (retryServerError) {
-            logRetry("backend server responded with status " + response.status());
-            return NextStep.FIND_TARGET;
+        if (response.status() >= 500 && !response.committed() && progress.tryRetryServerError(now)) {
+            return retry("backend server responded with status " + response.status());
         }
         finished = true;
         boolean streamed = admission.streaming() && response.status() == 200;
@@ -394,14 +433,14 @@
             return;
         }
         finished = true;
-        Refusal refusal = mayHaveRun && cause.retryable() ? Refusal.BROKEN : cause;
+        Refusal refusal = progress.mayHaveRun() && cause.retryable() ? Refusal.BROKEN : cause;
         cancelPending();
         if (response.committed()) {
             response.abort(reason);
             logOutcome("cut", cause + ": " + reason, response.status(), now);
             return;
         }
-        response.refuse(refusal, admission.retryAfter());
+        response.refuse(refusal, admission.retryAfter().or(() -> retryAfterOfEntry), admission.relayed());
         logOutcome("refused", cause + (reason.isEmpty() ? "" : ": " + reason), refusal.status(), now);
     }
 
@@ -415,7 +454,7 @@
         Moment now = context.clock().now();
         synchronized (this) {
             ticket = Optional.empty();
-            refuse(mayHaveRun ? Refusal.BROKEN : Refusal.NO_CAPACITY, "timed out waiting for a free slot", now);
+            refuse(Refusal.NO_CAPACITY, "timed out waiting for a free slot", now);
         }
     }
 
@@ -434,27 +473,32 @@
     }
 
     /**
-     * Checks the deadline of the request, a retry that waits, and whether the caller is still connected; called
-     * periodically.
+     * Checks the deadline of the request, a retry that waits, whether the request must leave for another entry, and
+     * whether the caller is still connected; called periodically.
      */
     void tick(Moment now) {
         NextStep step = NextStep.NONE;
+        Runnable interruption = () -> {};
         synchronized (this) {
             if (finished) {
                 return;
             }
             if (!now.isBefore(admission.deadline())) {
-                boolean sent = mayHaveRun || call.isPresent();
+                boolean sent = progress.mayHaveRun() || call.isPresent();
                 refuse(sent ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY, "request deadline has passed", now);
                 return;
             }
             if (pendingRetry.isPresent()) {
                 PendingRetry p = pendingRetry.get();
                 step = retryOrGiveUp(p.otherwise(), p.budgeted(), p.reason(), now);
+            } else if (progress.isPartitioned()) {
+                step = leaveQueue(now);
+                interruption = interruptCall(now);
             }
         }
-        if (step == NextStep.FIND_TARGET) {
-            requestTarget(now);
+        interruption.run();
+        if (step == NextStep.FIND_DESTINATION) {
+            findDestination(now);
         }
         if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof PeekingEndPoint p
                 && p.closedByCaller()) {
@@ -462,6 +506,34 @@
         }
     }
 
+    private NextStep leaveQueue(Moment now) {
+        boolean left = ticket.isPresent()
+                && choosePath(now) != RelayPolicy.Path.DIRECT
+                && context.dispatcher().withdraw(ticket.get());
+        if (left) {
+            ticket = Optional.empty();
+            waitedMillis += now.monotonicMillisSince(waitingSince);
+        }
+        return left ? NextStep.FIND_DESTINATION : NextStep.NONE;
+    }
+
+    /** Returns the action that interrupts the call if this entry is partitioned, to be run without the lock. */
+    private Runnable interruptCall(Moment now) {
+        if (call.isEmpty() || moving) {
+            return () -> {};
+        }
+        BackendCall current = call.get();
+        switch (progress.tryInterrupt(current, response.committed(), lastReceivedAt, now)) {
+            case WITHDRAW:
+                return () -> current.withdraw("partitioned from backend servers");
+            case MOVE:
+                moving = true;
+                return () -> current.cancel("partitioned from backend servers");
+            default:
+                return () -> {};
+        }
+    }
+
     /**
      * Cancels the call to a target that no longer serves, so that the request is retried at another one.
      *
@@ -472,7 +544,7 @@
         synchronized (this) {
             if (finished
                     || call.isEmpty()
-                    || target.filter(t -> t.key().equals(key)).isEmpty()) {
+                    || destination.filter(d -> d.key().equals(key)).isEmpty()) {
                 return;
             }
             lost = call.get();
@@ -490,28 +562,6 @@
     private void logOutcome(String outcome, String reason, int sentStatus, Moment now) {
         bufferedBody.clear();
         context.finished(this, outcome);
-        Optional<TargetPool> pool = admission.pool();
-        Object[] inputs = {
-            "request", id(),
-            "status", sentStatus,
-            "route", admission.route().map(Route::name).orElse(""),
-            "service", pool.map(TargetPool::service).orElse(""),
-            "model", pool.map(TargetPool::model).orElse(""),
-            "parts", admission.sharedParts(),
-            "target", target.map(Target::key).orElse(""),
-            "server", target.map(t -> t.server().id().value()).orElse(""),
-            "runs", attempts,
-            "tried", tried.size(),
-            "waitedMs", waitedMillis,
-            "totalMs", now.monotonicMillisSince(receivedAt),
-            "silentMs", answer.silence(now).map(Duration::toMillis).orElse(-1L),
-            "version", context.fleet().version(),
-            "versionAgeMs",
-                    context.fleet()
-                            .configurationAge(now)
-                            .map(Duration::toMillis)
-                            .orElse(-1L)
-        };
-        context.log().write(outcome, reason, inputs);
+        log.outcome(outcome, reason, sentStatus, destination, answer, waitedMillis, now);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerResponse.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerResponse.java
@@ -96,8 +96,12 @@
      * Sends a refusal by this entry.
      *
      * @param retryAfter the time after which the caller may retry; empty if it is unknown
+     * @param relayed whether another entry relays the request
      */
-    void refuse(Refusal refusal, Optional<Duration> retryAfter) {
+    void refuse(Refusal refusal, Optional<Duration> retryAfter, boolean relayed) {
+        if (relayed) {
+            response.getHeaders().put(RelayMark.REFUSAL_HEADER, refusal.name());
+        }
         response.setStatus(refusal.status());
         if (refusal.retryable()) {
             response.getHeaders().put("Retry-After", context.retryAfter(refusal, retryAfter));
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
@@ -0,0 +1,59 @@
+package org.baobabspindle.gateway;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.peer.PeerSecret;
+import org.eclipse.jetty.http.HttpFields;
+
+/** What the relaying of requests between entries shares: the state of the link, and the other entries. */
+final class EntryRelay {
+    private final Surroundings surroundings;
+    private final PeerSecret secret;
+    private final Map<InstanceId, Integer> outstanding = new ConcurrentHashMap<>();
+
+    /**
+     * What an entry relays between.
+     *
+     * @param link the link to backend servers
+     * @param peers the other entries
+     */
+    record Surroundings(BackendLink link, RelayPeers peers) {}
+
+    /**
+     * Creates the relay of an entry.
+     *
+     * @param secret the secret of this entry, with which other entries sign marks
+     */
+    EntryRelay(Surroundings surroundings, PeerSecret secret) {
+        this.surroundings = surroundings;
+        this.secret = secret;
+    }
+
+    BackendLink link() {
+        return surroundings.link();
+    }
+
+    /** Returns the mark of a request; empty if it comes from a caller. */
+    Optional<RelayMark> mark(HttpFields headers, String requestId) {
+        return RelayMark.of(headers, requestId, secret);
+    }
+
+    /** Returns an entry that can take a request, other than those that have failed or refused it. */
+    Optional<EntryAnnouncement> nextEntry(Set<InstanceId> except, Moment now) {
+        return surroundings.peers().nextPeer(except, id -> outstanding.getOrDefault(id, 0), now);
+    }
+
+    /** A request is sent to an entry. */
+    void sent(InstanceId entry) {
+        outstanding.merge(entry, 1, Integer::sum);
+    }
+
+    /** A request that was sent to an entry has ended. */
+    void ended(InstanceId entry) {
+        outstanding.computeIfPresent(entry, (id, count) -> count > 1 ? count - 1 : null);
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -42,6 +42,7 @@
     private final Duration keyLifetime;
     private final ServerNotices notices;
     private final CrashGuard quarantine;
+    private final EntryRelay relay;
     private final ResponseBuffer.ByteBudget bufferBudget = new ResponseBuffer.ByteBudget(MAX_BUFFERED_BYTES);
     private final Set<CallerExchange> active = ConcurrentHashMap.newKeySet();
 
@@ -52,6 +53,7 @@
             HttpClient client,
             ServerNotices notices,
             CrashGuard quarantine,
+            EntryRelay relay,
             ForwardingHeaders names,
             ShutdownState stopping,
             EventLog log,
@@ -65,6 +67,7 @@
         this.client = client;
         this.notices = notices;
         this.quarantine = quarantine;
+        this.relay = relay;
         this.headerNames = names;
         this.stopping = stopping;
         this.log = log;
@@ -98,6 +101,10 @@
         return quarantine;
     }
 
+    EntryRelay relay() {
+        return relay;
+    }
+
     ResponseBuffer.ByteBudget bufferBudget() {
         return bufferBudget;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.baobabspindle.core.dispatch.ServerRateLimits;
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.BackendServer;
@@ -77,6 +78,18 @@
     private static final FeedPoller.PollIntervals ENTRIES_POLL_INTERVALS =
             new FeedPoller.PollIntervals(Duration.ofSeconds(15), Duration.ofMillis(300));
 
+    private static final BackendLink CONNECTED = new BackendLink() {
+        @Override
+        public boolean isPartitioned() {
+            return false;
+        }
+
+        @Override
+        public boolean heardSince(Moment since) {
+            return true;
+        }
+    };
+
     private final GatewayClock clock = new GatewayClock();
     private final EventLog log = new EventLog();
     private final GatewayMetrics metrics = new GatewayMetrics();
@@ -104,7 +117,8 @@
     private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
-    private GatewayNode(Platform platform, PlanPolicy policy) throws Exception {
+    private GatewayNode(Platform platform, PlanPolicy policy, UnaryOperator<EntryRelay.Surroundings> adaptation)
+            throws Exception {
         settings = platform.settings();
         threads = new QueuedThreadPool(MAX_THREADS, 4);
         threads.setName("gateway");
@@ -136,6 +150,8 @@
                 client,
                 notices,
                 crashGuard,
+                new EntryRelay(
+                        adaptation.apply(new EntryRelay.Surroundings(CONNECTED, mesh)), new PeerSecret(self.secret())),
                 platform.headers(),
                 shutdown,
                 log,
@@ -213,7 +229,7 @@
      * @throws Exception if the entry cannot start
      */
     public static void run(Platform platform, PlanPolicy policy) throws Exception {
-        GatewayNode node = new GatewayNode(platform, policy);
+        GatewayNode node = new GatewayNode(platform, policy, UnaryOperator.identity());
         Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
         HangupSignal.handle(() -> node.reload(platform));
         node.start();
@@ -222,7 +238,12 @@
 
     /** Starts an entry that runs until {@link #shutDown()}. */
     static GatewayNode open(Platform platform) throws Exception {
-        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
+        return open(platform, UnaryOperator.identity());
+    }
+
+    /** Starts an entry whose link to backend servers or other entries may be simulated. */
+    static GatewayNode open(Platform platform, UnaryOperator<EntryRelay.Surroundings> adaptation) throws Exception {
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN, adaptation);
         node.start();
         return node;
     }
@@ -245,7 +266,7 @@
      * @throws Exception if the entry cannot start or a request gets no response
      */
     public static void rehearse(Platform platform, List<String> urls) throws Exception {
-        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN, UnaryOperator.identity());
         node.start();
         for (String url : urls) {
             int status = node.client.GET(url).getStatus();
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import org.baobabspindle.core.group.Rendezvous;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
@@ -32,7 +33,7 @@
 /**
  * Tracks the other entries (peers): their announcements, which of them are responsive, and their last received state.
  */
-final class PeerMesh {
+final class PeerMesh implements RelayPeers {
     /**
      * How long the weight loads of an entry are counted after its last response, which is the time of three of the
      * longest loads: all that it had started are complete by then.
@@ -256,6 +257,21 @@
         return peers.size() + 1;
     }
 
+    @Override
+    public Optional<EntryAnnouncement> nextPeer(
+            Set<InstanceId> except, ToIntFunction<InstanceId> outstanding, Moment now) {
+        List<EntryAnnouncement> candidates = new ArrayList<>();
+        for (Peer p : alivePeers(now)) {
+            if (p.ready && !except.contains(p.entry.entry().instance())) {
+                candidates.add(p.entry);
+            }
+        }
+        Collections.shuffle(candidates, new Random(now.monotonicNanos()));
+        return candidates.stream()
+                .min(Comparator.comparingInt(
+                        e -> outstanding.applyAsInt(e.entry().instance())));
+    }
+
     /** Returns the number of responsive entries, this one included. */
     int aliveEntryCount(Moment now) {
         return alivePeers(now).size() + 1;
--- a/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
@@ -22,6 +22,8 @@
     NOT_RUN(503),
     /** The entry is shutting down. */
     STOPPING(503),
+    /** The entry is partitioned from all backend servers, and no other entry can take the request. */
+    PARTITIONED(503),
     /** The request may have run, but no complete response was received. */
     BROKEN(502),
     /** The deadline of a request that may have run has passed. */
@@ -41,4 +43,17 @@
     boolean retryable() {
         return status == 503;
     }
+
+    /** Returns whether a backend server may have run the request. */
+    boolean mayHaveRun() {
+        return this == BROKEN || this == TIMED_OUT;
+    }
+
+    /** Returns whether the reason concerns only the entry that refuses, so that another one may serve the request. */
+    boolean specificToEntry() {
+        return switch (this) {
+            case NOT_CONFIGURED, KEYS_UNPROVEN, CONFIGURATION_STALE, STOPPING, PARTITIONED -> true;
+            case NO_ROUTE, UNKNOWN_KEY, TOO_LARGE, CRASHES_SERVERS, NO_CAPACITY, NOT_RUN, BROKEN, TIMED_OUT -> false;
+        };
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/RelayPeers.java
@@ -0,0 +1,18 @@
+package org.baobabspindle.gateway;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+
+/** Chooses the entries to which requests are relayed. */
+interface RelayPeers {
+    /**
+     * Returns an entry that can take a relayed request.
+     *
+     * @param except the entries that have failed or refused the request
+     * @param outstanding the number of requests that are being relayed to an entry
+     */
+    Optional<EntryAnnouncement> nextPeer(Set<InstanceId> except, ToIntFunction<InstanceId> outstanding, Moment now);
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -0,0 +1,172 @@
+package org.baobabspindle.gateway;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabspindle.core.dispatch.RelayPolicy;
+import org.baobabspindle.core.dispatch.RelayPolicy.CallAction;
+import org.baobabspindle.core.dispatch.RelayPolicy.Path;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+
+/**
+ * What has been tried for one request, and what may be tried next: at backend servers, or through other entries. Guarded
+ * by the lock of its exchange.
+ */
+final class RequestProgress {
+    /** The number of targets that may refuse a request or be unreachable before it is given up. */
+    private static final int MAX_REFUSALS = 3;
+
+    /** The number of times that a request may be relayed. */
+    private static final int MAX_RELAYS = 3;
+
+    private final GatewayContext context;
+    private final CallerAdmission admission;
+    private final Set<String> triedTargets = new HashSet<>();
+    private final Set<InstanceId> failedEntries = new HashSet<>();
+    private Optional<EntryAnnouncement> nextEntry = Optional.empty();
+    private int attempts;
+    private int refusals;
+    private int unreachable;
+    private int relays;
+
+    RequestProgress(GatewayContext context, CallerAdmission admission) {
+        this.context = context;
+        this.admission = admission;
+    }
+
+    /** Returns the number of backend servers that may have run the request. */
+    int attempts() {
+        return attempts;
+    }
+
+    boolean mayHaveRun() {
+        return attempts > 0;
+    }
+
+    /** Returns the keys of the targets to which the request was sent. */
+    Set<String> triedTargets() {
+        return triedTargets;
+    }
+
+    /** Returns whether a backend server was already asked to run the request. */
+    boolean hasBeenSent() {
+        return attempts + refusals > 0;
+    }
+
+    /** The request is about to be sent. */
+    void sendingTo(Destination destination) {
+        destination.server().ifPresent(s -> triedTargets.add(destination.key()));
+    }
+
+    /** A backend server may have run the request. */
+    void recordAttempt() {
+        attempts++;
+    }
+
+    /** A backend server did not run the request. */
+    void recordRefusal() {
+        refusals++;
+    }
+
+    /** The request could not be sent. */
+    void recordUnreachable(Destination destination) {
+        if (destination.entry().isPresent()) {
+            recordFailure(destination);
+        } else {
+            refusals++;
+            unreachable++;
+        }
+    }
+
+    /** If the destination is an entry, it does not get the request again. */
+    void recordFailure(Destination destination) {
+        destination.entry().ifPresent(e -> failedEntries.add(e.id()));
+    }
+
+    /** Chooses the path of the request, and the entry if it is to be relayed. */
+    Path choosePath(boolean responseBegun, Moment now) {
+        boolean partitioned = isPartitioned();
+        if (!partitioned && unreachable == 0) {
+            return Path.DIRECT;
+        }
+        nextEntry = findEntry(now);
+        return RelayPolicy.path(pending(responseBegun), partitioned, nextEntry.isPresent());
+    }
+
+    private Optional<EntryAnnouncement> findEntry(Moment now) {
+        return admission.relayed() || relays >= MAX_RELAYS
+                ? Optional.empty()
+                : context.relay().nextEntry(failedEntries, now);
+    }
+
+    private RelayPolicy.PendingRequest pending(boolean responseBegun) {
+        return new RelayPolicy.PendingRequest(admission.relayed(), unreachable, responseBegun);
+    }
+
+    boolean isPartitioned() {
+        return context.relay().link().isPartitioned();
+    }
+
+    /**
+     * Relays the request to the entry that was chosen last. One backend server may run it, since it would be unknown how
+     * many have run it if the entry did not answer.
+     */
+    EntryDestination relay() {
+        relays++;
+        return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1));
+    }
+
+    /**
+     * Returns whether the request may be sent again on a path.
+     *
+     * @param budgeted whether the retry is taken out of the retry budget
+     */
+    boolean tryRetry(Path path, boolean budgeted, Moment now) {
+        return switch (path) {
+                    case DIRECT -> refusals < MAX_REFUSALS
+                            && admission.checkQuarantine(now).isEmpty();
+                    case RELAY -> true;
+                    case NONE -> false;
+                }
+                && attempts < admission.maxAttempts()
+                && now.isBefore(admission.deadline())
+                && (!budgeted || takeFromBudget(now));
+    }
+
+    /** Returns whether the request may be sent again because the server responded with an error. */
+    boolean tryRetryServerError(Moment now) {
+        return isRepeatable()
+                && attempts < admission.maxAttempts()
+                && now.isBefore(admission.deadline())
+                && takeFromBudget(now);
+    }
+
+    boolean isRepeatable() {
+        return admission.route().orElseThrow().repeatable();
+    }
+
+    private boolean takeFromBudget(Moment now) {
+        return context.tryRetry(admission.pool().orElseThrow().service(), now);
+    }
+
+    /**
+     * Returns what to do with a call in progress; a call that is to be moved is taken out of the retry budget.
+     *
+     * @param lastReceivedAt when the call last received something, or began
+     */
+    CallAction tryInterrupt(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
+        if (!isPartitioned()) {
+            return CallAction.KEEP;
+        }
+        RelayPolicy.CallInProgress inProgress = new RelayPolicy.CallInProgress(
+                call.isSent(),
+                call.destination().server().isPresent(),
+                isRepeatable() && attempts + 1 < admission.maxAttempts(),
+                lastReceivedAt,
+                context.relay().link().heardSince(now.minus(RelayPolicy.MIN_SILENCE)));
+        CallAction action = RelayPolicy.action(
+                pending(responseBegun), inProgress, true, findEntry(now).isPresent(), now);
+        return action == CallAction.MOVE && !takeFromBudget(now) ? CallAction.KEEP : action;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/ServerDestination.java
@@ -0,0 +1,95 @@
+package org.baobabspindle.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.baobabspindle.core.dispatch.Target;
+import org.baobabspindle.core.dispatch.TargetPool;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.port.ForwardingHeaders;
+import org.baobabspindle.port.ResponseHead;
+import org.eclipse.jetty.http.HttpFields;
+
+/** The target that the dispatcher assigned to a request; its slot is free again when the call has ended. */
+final class ServerDestination implements Destination {
+    private final GatewayContext context;
+    private final Target target;
+    private final TargetPool pool;
+    private final boolean streaming;
+    private Optional<Moment> sentAt = Optional.empty();
+
+    ServerDestination(GatewayContext context, Target target, TargetPool pool, boolean streaming) {
+        this.context = context;
+        this.target = target;
+        this.pool = pool;
+        this.streaming = streaming;
+    }
+
+    @Override
+    public String key() {
+        return target.key();
+    }
+
+    @Override
+    public String host() {
+        return target.server().host();
+    }
+
+    @Override
+    public int port() {
+        return target.server().port();
+    }
+
+    @Override
+    public Optional<BackendServer> server() {
+        return Optional.of(target.server());
+    }
+
+    @Override
+    public void setHeaders(HttpFields.Mutable to, HttpFields caller, BackendCall.GatewayHeaders values) {
+        ForwardingHeaders names = context.headerNames();
+        to.put(names.expectedInstance(), target.server().id().value());
+        if (!values.account().isEmpty()) {
+            to.put(names.account(), values.account());
+        }
+        if (values.priority() >= 0) {
+            to.put(names.priority(), String.valueOf(values.priority()));
+        }
+    }
+
+    @Override
+    public boolean headReceived(int status, HttpFields headers, String requestId) {
+        ForwardingHeaders names = context.headerNames();
+        context.notices()
+                .responseReceived(
+                        target.server(), ResponseHead.of(status, headers, names.leaving(), names.rateLimit()));
+        String echoed = headers.get(names.requestId());
+        boolean refusal = headers.contains(names.notRun()) || status == 421;
+        return requestId == null || requestId.equals(echoed) || (echoed == null && refusal);
+    }
+
+    @Override
+    public void sent(Moment now) {
+        sentAt = Optional.of(now);
+        context.dispatcher().sent(target, streaming, now);
+    }
+
+    @Override
+    public void bytesReceived(Moment now) {
+        context.quarantine().answerReceived(target.server(), now);
+    }
+
+    @Override
+    public void eventReceived(Optional<Duration> interval, Moment now) {
+        context.dispatcher().eventReceived(target, interval, now);
+    }
+
+    @Override
+    public void ended(boolean started, Dispatcher.CallResult result, Moment now) {
+        if (result == Dispatcher.CallResult.SUCCEEDED) {
+            sentAt.ifPresent(
+                    at -> context.dispatcher().requestServed(pool, Duration.ofMillis(now.monotonicMillisSince(at))));
+        }
+        context.dispatcher().ended(pool, target, streaming && sentAt.isPresent(), started, result, now);
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/ServerNotices.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ServerNotices.java
@@ -184,7 +184,7 @@
     }
 
     /** Parses a time in seconds with an optional fraction; empty unless it is positive and shorter than a day. */
-    private static Optional<Duration> parseSeconds(String text) {
+    static Optional<Duration> parseSeconds(String text) {
         try {
             double seconds = new BigDecimal(text.trim()).doubleValue();
             boolean valid = seconds > 0 && seconds < Duration.ofDays(1).toSeconds();
--- a/entry/src/main/java/org/baobabspindle/peer/PeerSecret.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerSecret.java
@@ -35,22 +35,43 @@
 
     /** Returns the HMAC of a nonce and the entry that signs it, in hexadecimal digits. */
     String computeMac(String nonce, Incarnation from) {
+        return sign(nonce + '/' + from);
+    }
+
+    /**
+     * Signs a text.
+     *
+     * @param text the text
+     * @return its HMAC in hexadecimal digits
+     */
+    public String sign(String text) {
         try {
             Mac mac = Mac.getInstance(ALGORITHM);
             mac.init(key);
-            byte[] bytes = mac.doFinal((nonce + '/' + from).getBytes(StandardCharsets.UTF_8));
+            byte[] bytes = mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(bytes);
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("every Java platform must support " + ALGORITHM, e);
         }
     }
 
-    /** Returns whether a proof carries the right HMAC for a nonce. The comparison takes constant time. */
+    /** Returns whether a proof carries the right HMAC for a nonce. */
     boolean verify(String nonce, PeerMessage.Proof proof) {
         if (proof.from() == null || proof.mac() == null) {
             return false;
         }
-        byte[] expected = computeMac(nonce, proof.from()).getBytes(StandardCharsets.UTF_8);
-        return MessageDigest.isEqual(expected, proof.mac().getBytes(StandardCharsets.UTF_8));
+        return verify(nonce + '/' + proof.from(), proof.mac());
+    }
+
+    /**
+     * Returns whether a signature is that of a text. The comparison takes constant time.
+     *
+     * @param text the text
+     * @param signature the HMAC that was received
+     * @return whether it is the HMAC of the text
+     */
+    public boolean verify(String text, String signature) {
+        byte[] expected = sign(text).getBytes(StandardCharsets.UTF_8);
+        return MessageDigest.isEqual(expected, signature.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -188,6 +188,15 @@
         return entries.stream().anyMatch(r -> r.key().equals(entry));
     }
 
+    /** Returns the last announcement of an entry. */
+    EntryAnnouncement announcement(String entry) {
+        return entries.stream()
+                .filter(r -> r.key().equals(entry))
+                .reduce((first, second) -> second)
+                .flatMap(EntryAnnouncement::parse)
+                .orElseThrow();
+    }
+
     /** Makes a backend server respond to no probe from now on. */
     void makeUnresponsive(InstanceId server) {
         unresponsive.add(server);
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.baobabspindle.core.fleet.AccountPolicy;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.CallerLimits;
@@ -51,6 +52,11 @@
     }
 
     void start(RawBackend.Script... scripts) throws Exception {
+        start(UnaryOperator.identity(), scripts);
+    }
+
+    /** Starts a gateway whose surroundings may be simulated, before backend servers that follow the scripts. */
+    void start(UnaryOperator<EntryRelay.Surroundings> adaptation, RawBackend.Script... scripts) throws Exception {
         List<BackendServer> servers = new ArrayList<>();
         for (RawBackend.Script s : scripts) {
             RawBackend b = new RawBackend(s);
@@ -58,7 +64,7 @@
             servers.add(server("b" + backends.size(), b.port()));
         }
         platform = new FakePlatform(configuration(), servers);
-        node = GatewayNode.open(platform);
+        node = GatewayNode.open(platform, adaptation);
         await(() -> status(platform.readinessUrl()) == 200);
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -0,0 +1,221 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import org.baobabspindle.peer.PeerSecret;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests that an entry that is partitioned from all backend servers serves its callers through another entry. */
+class RelayTests extends TwoEntryTestSupport {
+    private static final RawBackend.Script DONE =
+            (request, out, socket) -> RawBackend.write(out, plain(request, "done"));
+
+    private final SwitchedLink link = new SwitchedLink();
+    private final SwitchedLink otherLink = new SwitchedLink();
+
+    private void startBoth(RawBackend.Script... scripts) throws Exception {
+        start(link::replaceIn, scripts);
+        startOtherNode(otherLink::replaceIn);
+    }
+
+    private static String streamHead(String request) {
+        return String.format(EVENTS_HEAD, RawBackend.header(request, "Id"));
+    }
+
+    private int requestCount() {
+        return backends.stream().mapToInt(b -> b.requests().size()).sum();
+    }
+
+    private String onlyRequest() {
+        assertThat(requestCount()).isEqualTo(1);
+        return backends.get(0).requests().get(0);
+    }
+
+    @Nested
+    class NewRequests {
+        @Test
+        void partitionedEntryAnswersThroughAnother() throws Exception {
+            startBoth(DONE);
+            link.cut();
+            HttpResponse<String> response = post("/unsafe/x?a=b");
+            assertThat(response.statusCode()).isEqualTo(200);
+            assertThat(response.body()).isEqualTo("done");
+            assertThat(response.headers().firstValue("Stamp")).hasValue("s");
+            assertThat(response.headers().firstValue("Id")).hasValue("r1");
+            assertThat(onlyRequest()).startsWith("POST /unsafe/x?a=b HTTP/1.1\r\n");
+            assertThat(onlyRequest()).endsWith("\r\n\r\norder");
+        }
+
+        @Test
+        void serverGetsNeitherKeyNorMark() throws Exception {
+            startBoth(DONE);
+            link.cut();
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+            assertThat(onlyRequest().toLowerCase(Locale.ROOT)).doesNotContain("key");
+            assertThat(onlyRequest().toLowerCase(Locale.ROOT)).doesNotContain("relay");
+            assertThat(RawBackend.header(onlyRequest(), "Account")).isEqualTo("acme");
+        }
+
+        @Test
+        void serverGetsTheTimeThatIsLeft() throws Exception {
+            startBoth(DONE);
+            link.cut();
+            HttpRequest r = request("/safe/x").header("Left-Ms", "900").GET().build();
+            assertThat(statusOf(r)).isEqualTo(200);
+            assertThat(Integer.parseInt(RawBackend.header(onlyRequest(), "Left-Ms")))
+                    .isAtMost(900);
+        }
+
+        @Test
+        void passesOnEventsAsTheyCome() throws Exception {
+            CountDownLatch firstReceived = new CountDownLatch(1);
+            startBoth((request, out, socket) -> {
+                RawBackend.write(out, streamHead(request) + chunk(event(1)));
+                firstReceived.await();
+                RawBackend.write(out, chunk(event(2)) + "0\r\n\r\n");
+            });
+            link.cut();
+            HttpResponse<InputStream> response =
+                    http.send(request("/stream/x").GET().build(), HttpResponse.BodyHandlers.ofInputStream());
+            assertThat(response.body().readNBytes(event(1).length()))
+                    .isEqualTo(event(1).getBytes(StandardCharsets.UTF_8));
+            firstReceived.countDown();
+            assertThat(response.body().readAllBytes()).isEqualTo(event(2).getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Test
+        void callerThatLeavesCancelsTheWorkOfTheServer() throws Exception {
+            startBoth((request, out, socket) -> RawBackend.awaitClose(socket));
+            link.cut();
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), platform.callerPort())) {
+                RawBackend.write(
+                        caller.getOutputStream(),
+                        "GET /safe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: a-key\r\n\r\n");
+                await(() -> requestCount() == 1);
+            }
+            await(() -> backends.get(0).closedByGateway() == 1);
+        }
+
+        @Test
+        void refusesIfTheOtherEntryIsPartitionedToo() throws Exception {
+            startBoth(DONE);
+            link.cut();
+            otherLink.cut();
+            HttpResponse<String> response = post("/unsafe/x");
+            assertThat(response.statusCode()).isEqualTo(503);
+            assertThat(response.headers().firstValue("Retry-After")).isPresent();
+            assertThat(requestCount()).isEqualTo(0);
+        }
+
+        @Test
+        void refusesIfThereIsNoOtherEntry() throws Exception {
+            start(link::replaceIn, DONE);
+            link.cut();
+            HttpResponse<String> response = post("/unsafe/x");
+            assertThat(response.statusCode()).isEqualTo(503);
+            assertThat(response.headers().firstValue("Retry-After")).isPresent();
+            assertThat(requestCount()).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    class RequestsInProgress {
+        @Test
+        void silentStreamIsResumedThroughAnotherEntry() throws Exception {
+            startBoth((request, out, socket) -> {
+                if (RawBackend.header(request, "Last-Event-Id").isEmpty()) {
+                    RawBackend.write(out, streamHead(request) + chunk(event(1)));
+                    RawBackend.awaitClose(socket);
+                }
+                RawBackend.write(out, streamHead(request) + chunk(event(2)) + "0\r\n\r\n");
+            });
+            HttpResponse<InputStream> response =
+                    http.send(request("/stream/x").GET().build(), HttpResponse.BodyHandlers.ofInputStream());
+            response.body().readNBytes(event(1).length());
+            link.cut();
+            assertThat(response.body().readAllBytes()).isEqualTo(event(2).getBytes(StandardCharsets.UTF_8));
+            assertThat(backends.get(0).requests()).hasSize(2);
+            assertThat(RawBackend.header(backends.get(0).requests().get(1), "Last-Event-Id"))
+                    .isEqualTo("1");
+        }
+
+        @Test
+        void unansweredSafeRequestIsRepeatedThroughAnotherEntry() throws Exception {
+            CountDownLatch first = new CountDownLatch(1);
+            startBoth((request, out, socket) -> {
+                if (first.getCount() > 0) {
+                    first.countDown();
+                    link.cut();
+                    RawBackend.awaitClose(socket);
+                }
+                RawBackend.write(out, plain(request, "done"));
+            });
+            assertThat(post("/safe/x").statusCode()).isEqualTo(200);
+            assertThat(requestCount()).isEqualTo(2);
+        }
+
+        @Test
+        void unsafeRequestThatWasSentIsNeverRepeated() throws Exception {
+            startBoth((request, out, socket) -> {
+                link.cut();
+                Thread.sleep(ROUTE_TIMEOUT.toMillis() / 2);
+                RawBackend.write(out, plain(request, "done"));
+            });
+            assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
+            assertThat(requestCount()).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class ReceivedMarks {
+        private HttpRequest marked(String path, String mark) {
+            return request(path).header(RelayMark.HEADER, mark).GET().build();
+        }
+
+        private String signedMark(int attempts) {
+            return new RelayMark(attempts)
+                    .format("r1", new PeerSecret(platform.announcement("entry").secret()));
+        }
+
+        private HttpResponse<String> send(HttpRequest r) throws Exception {
+            return http.send(r, HttpResponse.BodyHandlers.ofString());
+        }
+
+        @Test
+        void relayedRequestIsRunByNoMoreServersThanTheMarkAllows() throws Exception {
+            start((request, out, socket) -> RawBackend.reset(socket));
+            HttpResponse<String> response = send(marked("/safe/x", signedMark(1)));
+            assertThat(response.statusCode()).isEqualTo(502);
+            assertThat(response.headers().firstValue(RelayMark.REFUSAL_HEADER)).hasValue("BROKEN");
+            assertThat(requestCount()).isEqualTo(1);
+        }
+
+        @Test
+        void relayedRequestIsNotRelayedAgain() throws Exception {
+            startBoth(DONE);
+            link.cut();
+            HttpResponse<String> response = send(marked("/safe/x", signedMark(1)));
+            assertThat(response.statusCode()).isEqualTo(503);
+            assertThat(response.headers().firstValue(RelayMark.REFUSAL_HEADER)).hasValue("PARTITIONED");
+            assertThat(requestCount()).isEqualTo(0);
+        }
+
+        @Test
+        void markOfACallerHasNoEffect() throws Exception {
+            startBoth(DONE);
+            link.cut();
+            HttpResponse<String> response = send(marked("/safe/x", "1 " + "0".repeat(64)));
+            assertThat(response.statusCode()).isEqualTo(200);
+            assertThat(onlyRequest().toLowerCase(Locale.ROOT)).doesNotContain("relay");
+        }
+    }
+}
--- a/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 
 /** Base of tests with a second gateway that shares the store with the first, and with servers that can crash. */
@@ -20,8 +21,13 @@
 
     /** Starts the second gateway and waits until both know each other. */
     void startOtherNode() throws Exception {
+        startOtherNode(UnaryOperator.identity());
+    }
+
+    /** Starts the second gateway, whose surroundings may be simulated, and waits until both know each other. */
+    void startOtherNode(UnaryOperator<EntryRelay.Surroundings> adaptation) throws Exception {
         otherPlatform = new FakePlatform("other", platform);
-        otherNode = GatewayNode.open(otherPlatform);
+        otherNode = GatewayNode.open(otherPlatform, adaptation);
         await(() -> status(otherPlatform.readinessUrl()) == 200);
         await(() -> knownEntries(platform) == 2 && knownEntries(otherPlatform) == 2);
     }
