--- a/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -14,6 +14,7 @@
     private int status;
     private HttpFields headers = HttpFields.EMPTY;
     private Optional<Moment> lastEventAt = Optional.empty();
+    private boolean silenceRecorded;
 
     void head(int newStatus, HttpFields newHeaders) {
         status = newStatus;
@@ -51,6 +52,16 @@
         return lastEventAt.map(now::since);
     }
 
+    /** Records that the server was found unresponsive while it should have continued. */
+    void recordSilence() {
+        silenceRecorded = true;
+    }
+
+    /** Returns whether {@link #recordSilence()} was called. */
+    boolean silenceRecorded() {
+        return silenceRecorded;
+    }
+
     /** Returns whether an event has been received. */
     boolean started() {
         return lastEventAt.isPresent();
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -51,6 +51,9 @@
     /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
     private Optional<PendingRetry> pendingRetry = Optional.empty();
 
+    /** Whether the retry after the current call has been acquired already. */
+    private boolean retryGranted;
+
     private boolean finished;
     private boolean mayHaveRun;
     private int attempts;
@@ -126,6 +129,7 @@
             sentAt = now;
             tried.add(t.key());
             answer = new CallAnswer();
+            retryGranted = false;
             next = new BackendCall(
                     context.client(),
                     t,
@@ -332,7 +336,7 @@
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
                 && admission.checkQuarantine(now).isEmpty()
-                && (!budgeted || context.tryRetry(service(), now));
+                && (!budgeted || retryGranted || context.tryRetry(service(), now));
         if (!allowed) {
             return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, reason, now);
         }
@@ -463,11 +467,13 @@
     }
 
     /**
-     * Cancels the call to a target that no longer serves, so that the request is retried at another one.
+     * Cancels the call to a target that does not respond, if the request can be retried at another one now. Otherwise
+     * it waits, since the server may continue.
      *
      * @see GatewayContext#targetLost
      */
     void targetLost(String key, boolean onlyHeadUnresponsive) {
+        Moment now = context.clock().now();
         BackendCall lost;
         synchronized (this) {
             if (finished
@@ -476,13 +482,31 @@
                 return;
             }
             lost = call.get();
-            if (onlyHeadUnresponsive) {
-                recordBroken(context.clock().now());
+            if (onlyHeadUnresponsive && !answer.silenceRecorded()) {
+                answer.recordSilence();
+                recordBroken(now);
+            }
+            retryGranted = retryGranted || acquireRetryElsewhere(now);
+            if (!retryGranted) {
+                context.log().write("silent", "request waits for its server", "request", id(), "target", key);
+                return;
             }
         }
         lost.cancel("group has lost a member");
     }
 
+    /** Returns whether a retry of a running call is possible at another target, and acquires it. */
+    private boolean acquireRetryElsewhere(Moment now) {
+        Route route = admission.route().orElseThrow();
+        return route.repeatable()
+                && attempts + 1 < route.maxAttempts()
+                && refusals < MAX_REFUSALS
+                && now.isBefore(admission.deadline())
+                && admission.checkQuarantine(now).isEmpty()
+                && context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), tried, now)
+                && context.tryRetry(service(), now);
+    }
+
     private String id() {
         return String.valueOf(request.getHeaders().get(context.headerNames().requestId()));
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -140,14 +140,7 @@
         int choices = FleetScaling.targetChoices(entryCount.getAsInt());
         List<Target> targets = fleet.catalog().targets(t.pool());
         Optional<Target> target = chooser.choose(
-                choices,
-                targets,
-                totals,
-                x -> !t.avoid().contains(x.key())
-                        && health.isUsable(x.key(), now)
-                        && backoff.isAvailable(x.server().lifetime(), now)
-                        && rateLimits.isAvailable(x.server().lifetime(), now),
-                x -> slowTargets.contains(x.key()));
+                choices, targets, totals, x -> isUsable(x, t.avoid(), now), x -> slowTargets.contains(x.key()));
         if (target.isEmpty()) {
             return false;
         }
@@ -157,6 +150,24 @@
         return true;
     }
 
+    private boolean isUsable(Target target, Set<String> avoid, Moment now) {
+        return !avoid.contains(target.key())
+                && health.isUsable(target.key(), now)
+                && backoff.isAvailable(target.server().lifetime(), now)
+                && rateLimits.isAvailable(target.server().lifetime(), now);
+    }
+
+    /**
+     * Returns whether a target has a free slot for a request.
+     *
+     * @param avoid the keys of targets that do not count
+     */
+    synchronized boolean hasFreeTarget(TargetPool pool, Set<String> avoid, Moment now) {
+        Function<String, Integer> totals = loads.totals(now);
+        return fleet.catalog().targets(pool).stream()
+                .anyMatch(t -> totals.apply(t.key()) < t.slots() && isUsable(t, avoid, now));
+    }
+
     /** Returns the expected wait of a new request of a pool; days if the pool has no target. */
     synchronized Duration predictedWait(TargetPool pool, int entries, Moment now) {
         List<Target> targets = fleet.catalog().targets(pool);
