--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -377,6 +377,7 @@
                 && !response.committed()
                 && attempts < admission.route().orElseThrow().maxAttempts()
                 && now.isBefore(admission.deadline())
+                && hasFreeTargetElsewhere(now)
                 && context.tryRetry(service(), now);
         if (retryServerError) {
             logRetry("backend server responded with status " + response.status());
@@ -503,10 +504,14 @@
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
                 && admission.checkQuarantine(now).isEmpty()
-                && context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), tried, now)
+                && hasFreeTargetElsewhere(now)
                 && context.tryRetry(service(), now);
     }
 
+    private boolean hasFreeTargetElsewhere(Moment now) {
+        return context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), tried, now);
+    }
+
     private String id() {
         return String.valueOf(request.getHeaders().get(context.headerNames().requestId()));
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/ServerTroubleTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/ServerTroubleTests.java
@@ -85,6 +85,19 @@
         }
     }
 
+    @Nested
+    class Errors {
+        @Test
+        void errorOfTheOnlyServerIsForwarded() throws Exception {
+            start((request, out, socket) ->
+                    RawBackend.write(out, plainWith(request, "Cause: full disk").replace("200 OK", "500 Failed")));
+            HttpResponse<String> answer = post("/safe/x");
+            assertThat(answer.statusCode()).isEqualTo(500);
+            assertThat(answer.headers().firstValue("Stamp")).hasValue("s");
+            assertThat(answer.headers().firstValue("Cause")).hasValue("full disk");
+        }
+    }
+
     @Nested
     class EndlessResponses {
         private static final String FILLER = "x".repeat(8_192);
