--- a/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.port.ForwardingHeaders;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 
@@ -14,6 +15,7 @@
     private int status;
     private HttpFields headers = HttpFields.EMPTY;
     private Optional<Moment> lastEventAt = Optional.empty();
+    private boolean silenceRecorded;
 
     void head(int newStatus, HttpFields newHeaders) {
         status = newStatus;
@@ -29,6 +31,20 @@
         return headers;
     }
 
+    /** Returns whether the server states that it did not run the request. */
+    boolean notRun(ForwardingHeaders names) {
+        return headers.contains(names.notRun()) || status == 421;
+    }
+
+    /** Returns what the call shows about the health of its target. */
+    Dispatcher.CallResult callResult(BackendCall.End end) {
+        boolean complete = end == BackendCall.End.COMPLETE;
+        if (complete && status == 503 && headers.contains("Retry-After")) {
+            return Dispatcher.CallResult.NEUTRAL;
+        }
+        return complete && status < 500 ? Dispatcher.CallResult.SUCCEEDED : Dispatcher.CallResult.FAILED;
+    }
+
     /** Consumes bytes of a stream and returns the events that they complete. */
     List<EventSplitter.Event> split(ByteBuffer bytes) {
         return splitter.split(bytes);
@@ -51,6 +67,16 @@
         return lastEventAt.map(now::since);
     }
 
+    /** Records that the server was found unresponsive while it should have continued. */
+    void recordSilence() {
+        silenceRecorded = true;
+    }
+
+    /** Returns whether {@link #recordSilence()} was called. */
+    boolean silenceRecorded() {
+        return silenceRecorded;
+    }
+
     /** Returns whether an event has been received. */
     boolean started() {
         return lastEventAt.isPresent();
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -191,6 +191,21 @@
         return context.fleet().configuration().flatMap(c -> c.account(apiKey));
     }
 
+    /**
+     * Returns the values of the headers of a call.
+     *
+     * @param lastEventId the last event written to the caller; -1 if there is none
+     */
+    BackendCall.GatewayHeaders gatewayHeaders(long lastEventId, Moment now) {
+        String requested = request.getHeaders().get(context.headerNames().lastEventId());
+        String lastEvent = lastEventId >= 0 ? String.valueOf(lastEventId) : requested == null ? "" : requested;
+        return new BackendCall.GatewayHeaders(
+                Math.max(1, deadline.monotonicMillisSince(now)),
+                account().map(a -> a.account().value()).orElse(""),
+                -1,
+                lastEvent);
+    }
+
     /** Returns the request by what may make it crash a server. */
     SuspectRequest suspect() {
         return new SuspectRequest(fingerprint(), sharedParts());
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -52,9 +52,6 @@
 
     private boolean finished;
 
-    /** Whether the call was cancelled to be repeated through another entry. */
-    private boolean moving;
-
     private long waitedMillis;
     private Moment waitingSince;
     private Moment lastReceivedAt;
@@ -183,7 +180,7 @@
                 context.client(),
                 to,
                 BackendCall.Message.of(request, body),
-                gatewayHeaders(now),
+                admission.gatewayHeaders(response.lastEventId(), now),
                 context.headerNames(),
                 this);
         call = Optional.of(next);
@@ -203,17 +200,6 @@
                 : Optional.of(progress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.NO_CAPACITY);
     }
 
-    private BackendCall.GatewayHeaders gatewayHeaders(Moment now) {
-        String requested = request.getHeaders().get(context.headerNames().lastEventId());
-        long last = response.lastEventId();
-        String lastEvent = last >= 0 ? String.valueOf(last) : requested == null ? "" : requested;
-        return new BackendCall.GatewayHeaders(
-                Math.max(1, admission.deadline().monotonicMillisSince(now)),
-                admission.account().map(a -> a.account().value()).orElse(""),
-                -1,
-                lastEvent);
-    }
-
     @Override
     public void headers(BackendCall from, int newStatus, HttpFields headers) {
         Moment now = context.clock().now();
@@ -278,7 +264,7 @@
             }
             call = Optional.empty();
             started = answer.started();
-            result = callResult(end);
+            result = finished ? Dispatcher.CallResult.NEUTRAL : answer.callResult(end);
             if (end == BackendCall.End.BROKEN) {
                 recordBroken(now);
             }
@@ -303,28 +289,13 @@
         FIND_DESTINATION
     }
 
-    private Dispatcher.CallResult callResult(BackendCall.End end) {
-        if (finished) {
-            return Dispatcher.CallResult.NEUTRAL;
-        }
-        if (end == BackendCall.End.COMPLETE
-                && answer.status() == 503
-                && answer.headers().contains("Retry-After")) {
-            return Dispatcher.CallResult.NEUTRAL;
-        }
-        boolean succeeded = end == BackendCall.End.COMPLETE && answer.status() < 500;
-        return succeeded ? Dispatcher.CallResult.SUCCEEDED : Dispatcher.CallResult.FAILED;
-    }
-
     private NextStep nextStep(BackendCall.End end, String detail, Moment now) {
         Destination from = destination.orElseThrow();
-        boolean moved = moving && end == BackendCall.End.CANCELLED;
-        moving = false;
         Optional<Refusal> refusalOfEntry = from.entry().flatMap(e -> RelayMark.refusal(answer.headers()));
         if (end == BackendCall.End.COMPLETE && refusalOfEntry.isPresent()) {
             return refusedByEntry(from, refusalOfEntry.get(), now);
         }
-        if (end == BackendCall.End.COMPLETE && refusedByServer()) {
+        if (end == BackendCall.End.COMPLETE && answer.notRun(context.headerNames())) {
             progress.recordRefusal();
             return retryOrGiveUp(Refusal.NOT_RUN, true, "backend server did not run the request", now);
         }
@@ -336,9 +307,6 @@
         if (end == BackendCall.End.COMPLETE && isCompleteResponse()) {
             return deliver(now);
         }
-        if (moved) {
-            return retry("this entry is partitioned from backend servers");
-        }
         progress.recordFailure(from);
         String reason =
                 end == BackendCall.End.COMPLETE ? "status " + answer.status() + " is not a complete response" : detail;
@@ -365,10 +333,6 @@
         return progress.isRepeatable() ? retryOrGiveUp(otherwise, true, reason, now) : giveUp(otherwise, reason, now);
     }
 
-    private boolean refusedByServer() {
-        return answer.headers().contains(context.headerNames().notRun()) || answer.status() == 421;
-    }
-
     private boolean isCompleteResponse() {
         boolean stream = admission.streaming() && answer.status() == 200;
         boolean complete = stream ? answer.isWholeStream(hasEventsBefore()) : !response.committed();
@@ -414,7 +378,7 @@
     private NextStep deliver(Moment now) {
         boolean succeeded = response.status() == 200;
         context.quarantine().served(admission::suspect, succeeded ? admission.sharedParts() : List.of(), now);
-        if (response.status() >= 500 && !response.committed() && progress.tryRetryServerError(now)) {
+        if (response.status() >= 500 && !response.committed() && progress.tryRetryServerError(choosePath(now), now)) {
             return retry("backend server responded with status " + response.status());
         }
         finished = true;
@@ -519,7 +483,7 @@
 
     /** Returns the action that interrupts the call if this entry is partitioned, to be run without the lock. */
     private Runnable interruptCall(Moment now) {
-        if (call.isEmpty() || moving) {
+        if (call.isEmpty()) {
             return () -> {};
         }
         BackendCall current = call.get();
@@ -527,7 +491,6 @@
             case WITHDRAW:
                 return () -> current.withdraw("partitioned from backend servers");
             case MOVE:
-                moving = true;
                 return () -> current.cancel("partitioned from backend servers");
             default:
                 return () -> {};
@@ -535,11 +498,13 @@
     }
 
     /**
-     * Cancels the call to a target that no longer serves, so that the request is retried at another one.
+     * Cancels the call to a target that does not respond, if the request can be retried at another one now. Otherwise
+     * it waits, since the server may continue.
      *
      * @see GatewayContext#targetLost
      */
     void targetLost(String key, boolean onlyHeadUnresponsive) {
+        Moment now = context.clock().now();
         BackendCall lost;
         synchronized (this) {
             if (finished
@@ -548,8 +513,13 @@
                 return;
             }
             lost = call.get();
-            if (onlyHeadUnresponsive) {
-                recordBroken(context.clock().now());
+            if (onlyHeadUnresponsive && !answer.silenceRecorded()) {
+                answer.recordSilence();
+                recordBroken(now);
+            }
+            if (!progress.tryAcquireRetry(choosePath(now), now)) {
+                log.silent(key);
+                return;
             }
         }
         lost.cancel("group has lost a member");
--- a/entry/src/main/java/org/baobabspindle/gateway/ExchangeLog.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ExchangeLog.java
@@ -32,6 +32,10 @@
         context.log().write("broken", reason, "request", requestId, "server", from.key());
     }
 
+    void silent(String target) {
+        context.log().write("silent", "request waits for its server", "request", requestId, "target", target);
+    }
+
     void relayed(String reason, EntryDestination to) {
         context.log().write("relay", reason, "request", requestId, "entry", to.id(), "attempts", to.attempts());
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -30,6 +30,9 @@
     private int unreachable;
     private int relays;
 
+    /** Whether the retry after the current call has been acquired already. */
+    private boolean retryGranted;
+
     RequestProgress(GatewayContext context, CallerAdmission admission) {
         this.context = context;
         this.admission = admission;
@@ -57,6 +60,7 @@
     /** The request is about to be sent. */
     void sendingTo(Destination destination) {
         destination.server().ifPresent(s -> triedTargets.add(destination.key()));
+        retryGranted = false;
     }
 
     /** A backend server may have run the request. */
@@ -118,30 +122,51 @@
     }
 
     /**
-     * Returns whether the request may be sent again on a path.
+     * Returns whether the request may be sent again after its call has ended.
      *
      * @param budgeted whether the retry is taken out of the retry budget
      */
     boolean tryRetry(Path path, boolean budgeted, Moment now) {
-        return switch (path) {
+        return isAllowed(path, now)
+                && attempts < admission.maxAttempts()
+                && (!budgeted || retryGranted || takeFromBudget(now));
+    }
+
+    private boolean isAllowed(Path path, Moment now) {
+        boolean allowed =
+                switch (path) {
                     case DIRECT -> refusals < MAX_REFUSALS
                             && admission.checkQuarantine(now).isEmpty();
                     case RELAY -> true;
                     case NONE -> false;
-                }
-                && attempts < admission.maxAttempts()
-                && now.isBefore(admission.deadline())
-                && (!budgeted || takeFromBudget(now));
+                };
+        return allowed && now.isBefore(admission.deadline());
     }
 
     /** Returns whether the request may be sent again because the server responded with an error. */
-    boolean tryRetryServerError(Moment now) {
+    boolean tryRetryServerError(Path path, Moment now) {
         return isRepeatable()
                 && attempts < admission.maxAttempts()
                 && now.isBefore(admission.deadline())
+                && (path == Path.RELAY || hasFreeTargetElsewhere(now))
                 && takeFromBudget(now);
     }
 
+    /** Returns whether the request of a call in progress can be repeated by another server now, and acquires it. */
+    boolean tryAcquireRetry(Path path, Moment now) {
+        retryGranted = retryGranted
+                || (isRepeatable()
+                        && attempts + 1 < admission.maxAttempts()
+                        && isAllowed(path, now)
+                        && (path == Path.RELAY || hasFreeTargetElsewhere(now))
+                        && takeFromBudget(now));
+        return retryGranted;
+    }
+
+    private boolean hasFreeTargetElsewhere(Moment now) {
+        return context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), triedTargets, now);
+    }
+
     boolean isRepeatable() {
         return admission.route().orElseThrow().repeatable();
     }
@@ -151,12 +176,12 @@
     }
 
     /**
-     * Returns what to do with a call in progress; a call that is to be moved is taken out of the retry budget.
+     * Returns what to do with a call in progress; the retry of a call that is to be moved is acquired.
      *
      * @param lastReceivedAt when the call last received something, or began
      */
     CallAction tryInterrupt(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
-        if (!isPartitioned()) {
+        if (!isPartitioned() || retryGranted) {
             return CallAction.KEEP;
         }
         RelayPolicy.CallInProgress inProgress = new RelayPolicy.CallInProgress(
@@ -165,8 +190,8 @@
                 isRepeatable() && attempts + 1 < admission.maxAttempts(),
                 lastReceivedAt,
                 context.relay().link().heardSince(now.minus(RelayPolicy.MIN_SILENCE)));
-        CallAction action = RelayPolicy.action(
-                pending(responseBegun), inProgress, true, findEntry(now).isPresent(), now);
-        return action == CallAction.MOVE && !takeFromBudget(now) ? CallAction.KEEP : action;
+        Optional<EntryAnnouncement> entry = findEntry(now);
+        CallAction action = RelayPolicy.action(pending(responseBegun), inProgress, true, entry.isPresent(), now);
+        return action == CallAction.MOVE && !tryAcquireRetry(Path.RELAY, now) ? CallAction.KEEP : action;
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -4,10 +4,12 @@
 
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import org.baobabspindle.peer.PeerSecret;
@@ -27,6 +29,21 @@
         startOtherNode(otherLink::replaceIn);
     }
 
+    /** Starts an entry that cannot reach its backend server, and another one that can. */
+    private void startPartitioned(RawBackend.Script script) throws Exception {
+        RawBackend b = new RawBackend(script);
+        backends.add(b);
+        int unusedPort;
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            unusedPort = s.getLocalPort();
+        }
+        platform = new FakePlatform(configuration(), List.of(server("b1", unusedPort)));
+        node = GatewayNode.open(platform, link::replaceIn);
+        await(() -> status(platform.readinessUrl()) == 200);
+        startOtherNode(otherLink::replaceIn, server("b1", b.port()));
+        link.cut();
+    }
+
     private static String streamHead(String request) {
         return String.format(EVENTS_HEAD, RawBackend.header(request, "Id"));
     }
@@ -44,8 +61,7 @@
     class NewRequests {
         @Test
         void partitionedEntryAnswersThroughAnother() throws Exception {
-            startBoth(DONE);
-            link.cut();
+            startPartitioned(DONE);
             HttpResponse<String> response = post("/unsafe/x?a=b");
             assertThat(response.statusCode()).isEqualTo(200);
             assertThat(response.body()).isEqualTo("done");
@@ -57,8 +73,7 @@
 
         @Test
         void serverGetsNeitherKeyNorMark() throws Exception {
-            startBoth(DONE);
-            link.cut();
+            startPartitioned(DONE);
             assertThat(post("/unsafe/x").statusCode()).isEqualTo(200);
             assertThat(onlyRequest().toLowerCase(Locale.ROOT)).doesNotContain("key");
             assertThat(onlyRequest().toLowerCase(Locale.ROOT)).doesNotContain("relay");
@@ -67,8 +82,7 @@
 
         @Test
         void serverGetsTheTimeThatIsLeft() throws Exception {
-            startBoth(DONE);
-            link.cut();
+            startPartitioned(DONE);
             HttpRequest r = request("/safe/x").header("Left-Ms", "900").GET().build();
             assertThat(statusOf(r)).isEqualTo(200);
             assertThat(Integer.parseInt(RawBackend.header(onlyRequest(), "Left-Ms")))
@@ -78,12 +92,11 @@
         @Test
         void passesOnEventsAsTheyCome() throws Exception {
             CountDownLatch firstReceived = new CountDownLatch(1);
-            startBoth((request, out, socket) -> {
+            startPartitioned((request, out, socket) -> {
                 RawBackend.write(out, streamHead(request) + chunk(event(1)));
                 firstReceived.await();
                 RawBackend.write(out, chunk(event(2)) + "0\r\n\r\n");
             });
-            link.cut();
             HttpResponse<InputStream> response =
                     http.send(request("/stream/x").GET().build(), HttpResponse.BodyHandlers.ofInputStream());
             assertThat(response.body().readNBytes(event(1).length()))
@@ -94,8 +107,7 @@
 
         @Test
         void callerThatLeavesCancelsTheWorkOfTheServer() throws Exception {
-            startBoth((request, out, socket) -> RawBackend.awaitClose(socket));
-            link.cut();
+            startPartitioned((request, out, socket) -> RawBackend.awaitClose(socket));
             try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), platform.callerPort())) {
                 RawBackend.write(
                         caller.getOutputStream(),
@@ -107,8 +119,7 @@
 
         @Test
         void refusesIfTheOtherEntryIsPartitionedToo() throws Exception {
-            startBoth(DONE);
-            link.cut();
+            startPartitioned(DONE);
             otherLink.cut();
             HttpResponse<String> response = post("/unsafe/x");
             assertThat(response.statusCode()).isEqualTo(503);
@@ -201,8 +212,7 @@
 
         @Test
         void relayedRequestIsNotRelayedAgain() throws Exception {
-            startBoth(DONE);
-            link.cut();
+            startPartitioned(DONE);
             HttpResponse<String> response = send(marked("/safe/x", signedMark(1)));
             assertThat(response.statusCode()).isEqualTo(503);
             assertThat(response.headers().firstValue(RelayMark.REFUSAL_HEADER)).hasValue("PARTITIONED");
@@ -211,8 +221,7 @@
 
         @Test
         void markOfACallerHasNoEffect() throws Exception {
-            startBoth(DONE);
-            link.cut();
+            startPartitioned(DONE);
             HttpResponse<String> response = send(marked("/safe/x", "1 " + "0".repeat(64)));
             assertThat(response.statusCode()).isEqualTo(200);
             assertThat(onlyRequest().toLowerCase(Locale.ROOT)).doesNotContain("relay");
--- a/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.function.UnaryOperator;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.junit.jupiter.api.AfterEach;
 
 /** Base of tests with a second gateway that shares the store with the first, and with servers that can crash. */
@@ -24,9 +25,17 @@
         startOtherNode(UnaryOperator.identity());
     }
 
-    /** Starts the second gateway, whose surroundings may be simulated, and waits until both know each other. */
-    void startOtherNode(UnaryOperator<EntryRelay.Surroundings> adaptation) throws Exception {
+    /**
+     * Starts the second gateway and waits until both know each other.
+     *
+     * @param adaptation simulates its surroundings
+     * @param relisted backend servers that are listed differently at this gateway
+     */
+    void startOtherNode(UnaryOperator<EntryRelay.Surroundings> adaptation, BackendServer... relisted) throws Exception {
         otherPlatform = new FakePlatform("other", platform);
+        for (BackendServer s : relisted) {
+            otherPlatform.relist(s);
+        }
         otherNode = GatewayNode.open(otherPlatform, adaptation);
         await(() -> status(otherPlatform.readinessUrl()) == 200);
         await(() -> knownEntries(platform) == 2 && knownEntries(otherPlatform) == 2);
