--- a/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
@@ -289,7 +289,7 @@
         }
 
         @Test
-        void isWithdrawnFromAServerThatDoesNotAcceptItsConnection() throws Exception {
+        void isRelayedWhileItsServerDoesNotAcceptTheConnection() throws Exception {
             addEntries(DONE);
             try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 List<Socket> queued = fillAcceptQueue(full);
@@ -298,6 +298,7 @@
                 node = GatewayNode.open(platform, s -> new EntryRelay.Surroundings(link, RelayPeerTests.this));
                 await(() -> status(platform.readinessUrl()) == 200);
                 var response = http.sendAsync(request("/unsafe/x").GET().build(), HttpResponse.BodyHandlers.ofString());
+                await(() -> link.queries() > 6);
                 link.cut();
                 assertThat(response.get().statusCode()).isEqualTo(200);
                 for (Socket s : queued) {
--- a/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
@@ -1,9 +1,11 @@
 package org.baobabspindle.gateway;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import org.baobabspindle.core.time.Moment;
 
 /** A link to backend servers whose state is set by a test. */
 final class SwitchedLink implements BackendLink {
+    private final AtomicInteger queries = new AtomicInteger();
     private volatile boolean partitioned;
 
     /** Makes the entry take itself for partitioned, with all connections to backend servers silent. */
@@ -11,8 +13,14 @@
         partitioned = true;
     }
 
+    /** Returns how often the entry has queried the state, at least once in each tick of a request. */
+    int queries() {
+        return queries.get();
+    }
+
     @Override
     public boolean isPartitioned() {
+        queries.incrementAndGet();
         return partitioned;
     }
 
