--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -99,9 +99,7 @@
     }
 
     private Optional<EntryAnnouncement> findEntry(Moment now) {
-        return admission.relayed() || relays >= MAX_RELAYS
-                ? Optional.empty()
-                : context.relay().nextEntry(failedEntries, now);
+        return relays >= MAX_RELAYS ? Optional.empty() : context.relay().nextEntry(failedEntries, now);
     }
 
     private RelayPolicy.PendingRequest pending(boolean responseBegun) {
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -203,7 +203,8 @@
 
         @Test
         void relayedRequestIsRunByNoMoreServersThanTheMarkAllows() throws Exception {
-            start((request, out, socket) -> RawBackend.reset(socket));
+            RawBackend.Script fails = (request, out, socket) -> RawBackend.reset(socket);
+            start(fails, fails);
             HttpResponse<String> response = send(marked("/safe/x", signedMark(1)));
             assertThat(response.statusCode()).isEqualTo(502);
             assertThat(response.headers().firstValue(RelayMark.REFUSAL_HEADER)).hasValue("BROKEN");
