Check of a caller's connection takes no bytes from the next request

What callers saw: a short request (256 bytes at most) on a kept connection got neither an answer nor a refusal until the caller gave up.

Cause: the periodic check whether the caller has closed its connection reads from the channel. It tested that its exchange was unfinished, released the lock, and read afterwards. If the response was sent in between and the caller sent its next request, Jetty had already registered with the selector; the check moved the request into its own buffer, the channel was no longer readable, and nothing told Jetty. Also, Jetty's handler ran while the monitor of the end point was held, when buffered bytes were delivered.

Why the fix works: the check reads nothing while interest in input is registered. Jetty sets the interest before it calls needsFillInterest (FillInterest.tryRegister), which looks at the buffer under the lock of the check: bytes that were read before are delivered there, and none are read after. Delivery runs on the executor, outside the monitor.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -63,7 +63,7 @@
             @Override
             protected SocketChannelEndPoint newEndPoint(
                     SocketChannel channel, ManagedSelector selector, SelectionKey key) {
-                PeekingEndPoint endPoint = new PeekingEndPoint(channel, selector, key, getScheduler());
+                PeekingEndPoint endPoint = new PeekingEndPoint(channel, selector, key, getScheduler(), getExecutor());
                 endPoint.setIdleTimeout(getIdleTimeout());
                 return endPoint;
             }
--- a/entry/src/main/java/org/baobabspindle/gateway/PeekingEndPoint.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeekingEndPoint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -18,17 +19,23 @@
     private static final int PEEK_BYTES = 256;
 
     private final SocketChannel channel;
+    private final Executor executor;
     private ByteBuffer buffered = ByteBuffer.allocate(0);
     private boolean closed;
 
-    PeekingEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    PeekingEndPoint(
+            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
         super(channel, selector, key, scheduler);
         this.channel = channel;
+        this.executor = executor;
     }
 
-    /** Returns whether the caller has closed its side of the connection; never blocks. */
+    /**
+     * Returns whether the caller has closed its side of the connection; never blocks. Reads nothing while Jetty waits
+     * for input, since Jetty would not be told of bytes that are no longer in the channel.
+     */
     synchronized boolean closedByCaller() {
-        if (closed || buffered.hasRemaining()) {
+        if (closed || buffered.hasRemaining() || isFillInterested()) {
             return closed;
         }
         try {
@@ -49,12 +56,17 @@
         return BufferUtil.append(buffer, buffered);
     }
 
+    /** Interest is registered before this is called, so that no check reads from the channel in between. */
     @Override
-    protected synchronized void needsFillInterest() {
-        if (buffered.hasRemaining()) {
-            getFillInterest().fillable();
+    protected void needsFillInterest() {
+        if (hasBuffered()) {
+            executor.execute(() -> getFillInterest().fillable());
         } else {
             super.needsFillInterest();
         }
     }
+
+    private synchronized boolean hasBuffered() {
+        return buffered.hasRemaining();
+    }
 }
