Heads of requests up to the configured limit are read and forwarded

What callers saw: a request whose head was longer than 8 KiB got 431, and its connection was closed, though the configuration allows 16 KiB (max_header_bytes).

Cause: Jetty's server limits the request line and headers to 8 KiB unless told otherwise, and so does its client: with only the first limit raised, the call to the backend server failed and the caller got 502.

Evidence: HeaderSizeTests sends a head of 15 KiB. Before the fix it failed with 431 instead of 200, and with 502 when only the limit of the server was raised.

Why the fix works: both limits are fixed ones above that of the configurations; the client's one leaves room for the headers that the entry adds.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -41,6 +41,15 @@
      */
     private static final int MAX_CONNECTIONS_PER_SERVER = 64;
 
+    /**
+     * The maximum size of the request line and headers, in bytes. It bounds memory and exceeds the limit of any
+     * configuration, which callers respect.
+     */
+    private static final int MAX_REQUEST_HEADER_BYTES = 64 * 1024;
+
+    /** Leaves room for the headers that this entry adds to those of a caller. */
+    private static final int MAX_FORWARDED_HEADER_BYTES = MAX_REQUEST_HEADER_BYTES + 4 * 1024;
+
     /** The maximum size of the response headers, in bytes; a call whose headers exceed it fails. */
     static final int MAX_RESPONSE_HEADER_BYTES = 32 * 1024;
 
@@ -59,6 +68,7 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
+        http.setRequestHeaderSize(MAX_REQUEST_HEADER_BYTES);
         ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(http)) {
             @Override
             protected SocketChannelEndPoint newEndPoint(
@@ -98,6 +108,7 @@
         client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
         client.setIdleTimeout(CLIENT_IDLE_TIMEOUT.toMillis());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_SERVER);
+        client.setMaxRequestHeadersSize(MAX_FORWARDED_HEADER_BYTES);
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
