Responses with long headers are returned to the caller

What callers saw: 500 without the server's stamp, although the backend server had run the request and answered it, if its response headers were longer than the server side of the entry writes.

Cause: the client accepts response headers of 32 KiB, but Jetty's server, by its default, refuses to write that many; it replaces the response by a 500 of its own. The entry took that for a caller that has disconnected.

Evidence: HeaderSizeTests answers with headers of 31 KiB. Before the fix responseWithLongHeadersIsForwarded failed with 500 instead of 200; with headers of 12 KiB it passed before the fix.

Why the fix works: the limit for writing is the one for reading plus room for the headers that the entry adds.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -53,6 +53,9 @@
     /** The maximum size of the response headers, in bytes; a call whose headers exceed it fails. */
     static final int MAX_RESPONSE_HEADER_BYTES = 32 * 1024;
 
+    /** Leaves room for the headers that this entry adds to those of a backend server. */
+    private static final int MAX_RETURNED_HEADER_BYTES = MAX_RESPONSE_HEADER_BYTES + 4 * 1024;
+
     private final Server server;
 
     GatewayServer(GatewaySettings settings, QueuedThreadPool threads) {
@@ -69,6 +72,7 @@
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setRequestHeaderSize(MAX_REQUEST_HEADER_BYTES);
+        http.setMaxResponseHeaderSize(MAX_RETURNED_HEADER_BYTES);
         ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(http)) {
             @Override
             protected SocketChannelEndPoint newEndPoint(
