An exception while a request is processed ends it with a response

What callers saw: no answer until the timeout of the route, if processing the request threw an exception on a worker thread; the slot of the backend server was lost for good. An exception in the periodic check of one request left out the check of all others, and one while a part of the body was received left that part out of the response.

Cause: the steps of an exchange run on worker threads, timers and in listeners of the HTTP client, which log or drop an exception; nothing ended the exchange.

The other steps have no test of their own; no real exception is known that strikes there.

Why the fix works: every step that a worker, timer or listener starts ends the request with a refusal if it throws, and logs the exception. The refusal is 503 only if the request was never sent, else 502.

--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -20,6 +20,8 @@
  * backend server at a time; events of earlier calls are ignored.
  */
 final class CallerExchange implements BackendCall.Listener {
+    private static final System.Logger LOGGER = System.getLogger(CallerExchange.class.getName());
+
     /**
      * An answer that has gone on for longer shows that no part of its prompt crashes the server; the first event may still
      * arrive from a server that crashes with it.
@@ -76,6 +78,10 @@
      * @param content the whole body of the request
      */
     void begin(byte[] content, Moment now) {
+        runOrFail(() -> admit(content, now), now);
+    }
+
+    private void admit(byte[] content, Moment now) {
         synchronized (this) {
             body = content;
             Optional<Refusal> refusal = admission.check(content, now);
@@ -88,6 +94,20 @@
         requestTarget(now);
     }
 
+    /** Runs a step of the exchange. An exception ends the request, since no later event might end it. */
+    private void runOrFail(Runnable step, Moment now) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            fail(e, now);
+        }
+    }
+
+    private synchronized void fail(RuntimeException e, Moment now) {
+        LOGGER.log(System.Logger.Level.ERROR, "processing a request failed", e);
+        refuse(mayHaveRun || call.isPresent() ? Refusal.BROKEN : Refusal.INTERNAL_ERROR, e.toString(), now);
+    }
+
     /** Queues the request for a target. */
     private void requestTarget(Moment now) {
         Dispatcher.Ticket t;
@@ -111,6 +131,29 @@
     /** Sends the request to a target, after repeating the checks whose outcome may have changed while it waited. */
     private void sendTo(Target t) {
         Moment now = context.clock().now();
+        try {
+            trySendTo(t, now);
+        } catch (RuntimeException e) {
+            Optional<BackendCall> failed;
+            synchronized (this) {
+                failed = call;
+                call = Optional.empty();
+                mayHaveRun |= failed.isPresent();
+            }
+            failed.ifPresent(c -> c.cancel("sending failed"));
+            fail(e, now);
+            context.dispatcher()
+                    .ended(
+                            admission.pool().orElseThrow(),
+                            t,
+                            failed.isPresent() && admission.streaming(),
+                            false,
+                            Dispatcher.CallResult.NEUTRAL,
+                            now);
+        }
+    }
+
+    private void trySendTo(Target t, Moment now) {
         BackendCall next;
         synchronized (this) {
             ticket = Optional.empty();
@@ -189,6 +232,10 @@
     @Override
     public void content(BackendCall from, ByteBuffer bytes) {
         Moment now = context.clock().now();
+        runOrFail(() -> receive(from, bytes, now), now);
+    }
+
+    private void receive(BackendCall from, ByteBuffer bytes, Moment now) {
         context.quarantine().answerReceived(from.server(), now);
         synchronized (this) {
             if (isStale(from)) {
@@ -229,10 +276,7 @@
             t = target.orElseThrow();
             started = answer.started();
             result = callResult(end);
-            if (end == BackendCall.End.BROKEN) {
-                recordBroken(now);
-            }
-            step = finished ? NextStep.NONE : nextStep(end, detail, now);
+            step = nextStepOrFail(end, detail, now);
         }
         if (result == Dispatcher.CallResult.SUCCEEDED) {
             context.dispatcher()
@@ -240,7 +284,20 @@
         }
         context.dispatcher().ended(admission.pool().orElseThrow(), t, admission.streaming(), started, result, now);
         if (step == NextStep.FIND_TARGET) {
-            requestTarget(now);
+            runOrFail(() -> requestTarget(now), now);
+        }
+    }
+
+    private NextStep nextStepOrFail(BackendCall.End end, String detail, Moment now) {
+        try {
+            if (end == BackendCall.End.BROKEN) {
+                recordBroken(now);
+            }
+            return finished ? NextStep.NONE : nextStep(end, detail, now);
+        } catch (RuntimeException e) {
+            mayHaveRun |= end != BackendCall.End.NOT_SENT;
+            fail(e, now);
+            return NextStep.NONE;
         }
     }
 
@@ -438,6 +495,10 @@
      * periodically.
      */
     void tick(Moment now) {
+        runOrFail(() -> check(now), now);
+    }
+
+    private void check(Moment now) {
         NextStep step = NextStep.NONE;
         synchronized (this) {
             if (finished) {
--- a/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
@@ -22,6 +22,8 @@
     NOT_RUN(503),
     /** The entry is shutting down. */
     STOPPING(503),
+    /** An unexpected exception occurred before the request was sent to a backend server. */
+    INTERNAL_ERROR(503),
     /** The request may have run, but no complete response was received. */
     BROKEN(502),
     /** The deadline of a request that may have run has passed. */
