A malformed deadline of a caller is ignored

Cause: the header was parsed without a check; the exception left CallerExchange.begin.

Evidence: FailedExchangeTests sends "soon", "2500.5" and a number of 20 digits. No caller of the deployments is known to send such a value.

Why the fix works: a value that can't be parsed counts like a missing one, so that the timeout of the route applies.

--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -136,11 +136,20 @@
     }
 
     private Duration timeout(Route r) {
-        long requested = request.getHeaders().getLongField(context.headerNames().remainingMillis());
+        long requested = requestedMillis();
         Duration timeout = r.timeout();
         return requested > 0 && requested < timeout.toMillis() ? Duration.ofMillis(requested) : timeout;
     }
 
+    /** Returns the time that the caller states to be left; not positive if it states none or a malformed one. */
+    private long requestedMillis() {
+        try {
+            return request.getHeaders().getLongField(context.headerNames().remainingMillis());
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     private TargetPool choosePool(FleetConfiguration configuration, Route r) {
         String service = r.pickService(context.random());
         boolean engines =
--- a/entry/src/test/java/org/baobabspindle/gateway/FailedExchangeTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FailedExchangeTests.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
 import org.baobabspindle.core.fleet.BackendServer;
@@ -47,4 +49,18 @@
             assertThat(millisUntilRefusal()).isLessThan(ROUTE_TIMEOUT.toMillis() / 2);
         }
     }
+
+    @Test
+    void malformedDeadlineOfTheCallerIsIgnored() throws Exception {
+        start((request, out, socket) -> RawBackend.write(out, plain(request, "done")));
+        for (String deadline : List.of("soon", "2500.5", "99999999999999999999")) {
+            HttpResponse<String> answer = http.send(
+                    request("/unsafe/x")
+                            .header("Left-Ms", deadline)
+                            .POST(HttpRequest.BodyPublishers.ofString("order"))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            assertThat(answer.statusCode()).isEqualTo(200);
+        }
+    }
 }
