--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -17,6 +17,8 @@
  * a backend server or another entry; events of earlier calls are ignored.
  */
 final class CallerExchange implements BackendCall.Listener {
+    private static final System.Logger LOGGER = System.getLogger(CallerExchange.class.getName());
+
     /**
      * An answer that has gone on for longer shows that no part of its prompt crashes the server; the first event may still
      * arrive from a server that crashes with it.
@@ -75,6 +77,10 @@
      * @param content the whole body of the request
      */
     void begin(byte[] content, Moment now) {
+        runOrFail(() -> admit(content, now), now);
+    }
+
+    private void admit(byte[] content, Moment now) {
         synchronized (this) {
             body = content;
             Optional<Refusal> refusal = admission.check(content, now);
@@ -92,6 +98,34 @@
         findDestination(now);
     }
 
+    /** Runs a step of the exchange. An exception ends the request, since no later event might end it. */
+    private void runOrFail(Runnable step, Moment now) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            fail(e, now);
+        }
+    }
+
+    private synchronized void fail(RuntimeException e, Moment now) {
+        LOGGER.log(System.Logger.Level.ERROR, "processing a request failed", e);
+        boolean sent = progress.mayHaveRun() || call.isPresent();
+        refuse(sent ? Refusal.BROKEN : Refusal.INTERNAL_ERROR, e.toString(), now);
+    }
+
+    /** Ends the request because of an exception that prevented its call. */
+    private void abandon(Destination to, RuntimeException e, Moment now) {
+        Optional<BackendCall> failed;
+        synchronized (this) {
+            failed = call;
+            call = Optional.empty();
+            failed.ifPresent(c -> progress.recordAttempt());
+        }
+        failed.ifPresent(c -> c.cancel("sending failed"));
+        fail(e, now);
+        to.ended(false, Dispatcher.CallResult.NEUTRAL, now);
+    }
+
     private RelayPolicy.Path choosePath(Moment now) {
         return progress.choosePath(response.committed(), now);
     }
@@ -141,33 +175,41 @@
         return call(to, now);
     }
 
-    /** Sends the request to a target, after repeating the checks whose outcome may have changed while it waited. */
+    /** Sends the request to the target that was assigned to it. */
     private void sendTo(Target t) {
         Moment now = context.clock().now();
         ServerDestination to =
                 new ServerDestination(context, t, admission.pool().orElseThrow(), admission.streaming());
         Runnable next;
-        synchronized (this) {
-            ticket = Optional.empty();
-            waitedMillis += now.monotonicMillisSince(waitingSince);
-            boolean direct = finished || choosePath(now) == RelayPolicy.Path.DIRECT;
-            Optional<Refusal> refusal = finished ? Optional.of(Refusal.NOT_RUN) : Optional.empty();
-            if (direct && refusal.isEmpty()) {
-                refusal = checkBeforeSend(now);
-            }
-            if (refusal.isPresent()) {
+        try {
+            next = takeTarget(to, now);
+        } catch (RuntimeException e) {
+            abandon(to, e, now);
+            return;
+        }
+        runOrFail(next, now);
+    }
+
+    /**
+     * Repeats the checks whose outcome may have changed while the request waited; returns the action that follows, to be
+     * run without the lock.
+     */
+    private synchronized Runnable takeTarget(ServerDestination to, Moment now) {
+        ticket = Optional.empty();
+        waitedMillis += now.monotonicMillisSince(waitingSince);
+        boolean direct = finished || choosePath(now) == RelayPolicy.Path.DIRECT;
+        if (!direct) {
+            return () -> {
                 to.ended(false, Dispatcher.CallResult.NEUTRAL, now);
-                refuse(refusal.get(), "while waiting for a target", now);
-                return;
-            }
-            next = direct
-                    ? call(to, now)
-                    : () -> {
-                        to.ended(false, Dispatcher.CallResult.NEUTRAL, now);
-                        findDestination(now);
-                    };
+                findDestination(now);
+            };
         }
-        next.run();
+        Optional<Refusal> refusal = finished ? Optional.of(Refusal.NOT_RUN) : checkBeforeSend(now);
+        if (refusal.isPresent()) {
+            refuse(refusal.get(), "while waiting for a target", now);
+            return () -> to.ended(false, Dispatcher.CallResult.NEUTRAL, now);
+        }
+        return call(to, now);
     }
 
     /** Begins a call; returns the action that sends it, to be run without the lock. */
@@ -185,8 +227,12 @@
                 this);
         call = Optional.of(next);
         return () -> {
-            to.sent(now);
-            next.send();
+            try {
+                to.sent(now);
+                next.send();
+            } catch (RuntimeException e) {
+                abandon(to, e, now);
+            }
         };
     }
 
@@ -226,6 +272,10 @@
     @Override
     public void content(BackendCall from, ByteBuffer bytes) {
         Moment now = context.clock().now();
+        runOrFail(() -> receive(from, bytes, now), now);
+    }
+
+    private void receive(BackendCall from, ByteBuffer bytes, Moment now) {
         from.destination().bytesReceived(now);
         synchronized (this) {
             if (isStale(from)) {
@@ -265,14 +315,26 @@
             call = Optional.empty();
             started = answer.started();
             result = finished ? Dispatcher.CallResult.NEUTRAL : answer.callResult(end);
-            if (end == BackendCall.End.BROKEN) {
-                recordBroken(now);
-            }
-            step = finished ? NextStep.NONE : nextStep(end, detail, now);
+            step = nextStepOrFail(end, detail, now);
         }
         from.destination().ended(started, result, now);
         if (step == NextStep.FIND_DESTINATION) {
-            findDestination(now);
+            runOrFail(() -> findDestination(now), now);
+        }
+    }
+
+    private NextStep nextStepOrFail(BackendCall.End end, String detail, Moment now) {
+        try {
+            if (end == BackendCall.End.BROKEN) {
+                recordBroken(now);
+            }
+            return finished ? NextStep.NONE : nextStep(end, detail, now);
+        } catch (RuntimeException e) {
+            if (end != BackendCall.End.NOT_SENT) {
+                progress.recordAttempt();
+            }
+            fail(e, now);
+            return NextStep.NONE;
         }
     }
 
@@ -335,14 +397,10 @@
 
     private boolean isCompleteResponse() {
         boolean stream = admission.streaming() && answer.status() == 200;
-        boolean complete = stream ? answer.isWholeStream(hasEventsBefore()) : !response.committed();
-        return complete && answer.headers().contains(context.headerNames().serverStamp());
-    }
-
-    /** Returns whether the caller had received events of the stream, from this exchange or before. */
-    private boolean hasEventsBefore() {
-        return response.lastEventId() >= 0
+        boolean eventsBefore = response.lastEventId() >= 0
                 || request.getHeaders().contains(context.headerNames().lastEventId());
+        boolean complete = stream ? answer.isWholeStream(eventsBefore) : !response.committed();
+        return complete && answer.headers().contains(context.headerNames().serverStamp());
     }
 
     /**
@@ -441,6 +499,10 @@
      * whether the caller is still connected; called periodically.
      */
     void tick(Moment now) {
+        runOrFail(() -> check(now), now);
+    }
+
+    private void check(Moment now) {
         NextStep step = NextStep.NONE;
         Runnable interruption = () -> {};
         synchronized (this) {
@@ -457,7 +519,8 @@
                 step = retryOrGiveUp(p.otherwise(), p.budgeted(), p.reason(), now);
             } else if (progress.isPartitioned()) {
                 step = leaveQueue(now);
-                interruption = interruptCall(now);
+                interruption = call.map(c -> progress.interruption(c, response.committed(), lastReceivedAt, now))
+                        .orElse(interruption);
             }
         }
         interruption.run();
@@ -481,22 +544,6 @@
         return left ? NextStep.FIND_DESTINATION : NextStep.NONE;
     }
 
-    /** Returns the action that interrupts the call if this entry is partitioned, to be run without the lock. */
-    private Runnable interruptCall(Moment now) {
-        if (call.isEmpty()) {
-            return () -> {};
-        }
-        BackendCall current = call.get();
-        switch (progress.tryInterrupt(current, response.committed(), lastReceivedAt, now)) {
-            case WITHDRAW:
-                return () -> current.withdraw("partitioned from backend servers");
-            case MOVE:
-                return () -> current.cancel("partitioned from backend servers");
-            default:
-                return () -> {};
-        }
-    }
-
     /**
      * Cancels the call to a target that does not respond, if the request can be retried at another one now. Otherwise
      * it waits, since the server may continue.
--- a/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
@@ -24,6 +24,8 @@
     STOPPING(503),
     /** The entry is partitioned from all backend servers, and no other entry can take the request. */
     PARTITIONED(503),
+    /** An unexpected exception occurred before the request was sent to a backend server. */
+    INTERNAL_ERROR(503),
     /** The request may have run, but no complete response was received. */
     BROKEN(502),
     /** The deadline of a request that may have run has passed. */
@@ -53,7 +55,15 @@
     boolean specificToEntry() {
         return switch (this) {
             case NOT_CONFIGURED, KEYS_UNPROVEN, CONFIGURATION_STALE, STOPPING, PARTITIONED -> true;
-            case NO_ROUTE, UNKNOWN_KEY, TOO_LARGE, CRASHES_SERVERS, NO_CAPACITY, NOT_RUN, BROKEN, TIMED_OUT -> false;
+            case NO_ROUTE,
+                    UNKNOWN_KEY,
+                    TOO_LARGE,
+                    CRASHES_SERVERS,
+                    NO_CAPACITY,
+                    NOT_RUN,
+                    INTERNAL_ERROR,
+                    BROKEN,
+                    TIMED_OUT -> false;
         };
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -174,22 +174,28 @@
     }
 
     /**
-     * Returns what to do with a call in progress; the retry of a call that is to be moved is acquired.
+     * Returns the action that interrupts a call in progress if this entry is partitioned, to be run without the lock.
      *
      * @param lastReceivedAt when the call last received something, or began
      */
-    CallAction tryInterrupt(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
-        if (!isPartitioned() || retryGranted) {
-            return CallAction.KEEP;
+    Runnable interruption(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
+        CallAction action = retryGranted ? CallAction.KEEP : chooseAction(call, responseBegun, lastReceivedAt, now);
+        if (action == CallAction.WITHDRAW) {
+            return () -> call.withdraw("partitioned from backend servers");
         }
+        return action == CallAction.MOVE && tryAcquireRetry(Path.RELAY, now)
+                ? () -> call.cancel("partitioned from backend servers")
+                : () -> {};
+    }
+
+    private CallAction chooseAction(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
         RelayPolicy.CallInProgress inProgress = new RelayPolicy.CallInProgress(
                 call.isSent(),
                 call.destination().server().isPresent(),
                 isRepeatable() && attempts + 1 < admission.maxAttempts(),
                 lastReceivedAt,
                 context.relay().link().heardSince(now.minus(RelayPolicy.MIN_SILENCE)));
-        Optional<EntryAnnouncement> entry = findEntry(now);
-        CallAction action = RelayPolicy.action(pending(responseBegun), inProgress, true, entry.isPresent(), now);
-        return action == CallAction.MOVE && !tryAcquireRetry(Path.RELAY, now) ? CallAction.KEEP : action;
+        boolean entryAvailable = findEntry(now).isPresent();
+        return RelayPolicy.action(pending(responseBegun), inProgress, isPartitioned(), entryAvailable, now);
     }
 }
