--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabspindle.port.ForwardingHeaders;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -104,16 +103,17 @@
     record GatewayHeaders(long timeLeftMillis, String account, int priority, String lastEventId) {}
 
     BackendCall(
-            HttpClient client,
+            GatewayContext context,
             Destination destination,
             Message message,
             GatewayHeaders gatewayHeaders,
-            ForwardingHeaders names,
             Listener listener) {
+        ForwardingHeaders names = context.headerNames();
         this.destination = destination;
         this.listener = listener;
         this.requestId = message.headers().get(names.requestId());
-        this.request = client.newRequest(destination.host(), destination.port())
+        this.request = context.client()
+                .newRequest(destination.host(), destination.port())
                 .method(message.method())
                 .path(message.pathAndQuery());
         request.headers(h -> {
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -219,11 +219,10 @@
         progress.sendingTo(to);
         answer = new CallAnswer();
         BackendCall next = new BackendCall(
-                context.client(),
+                context,
                 to,
                 BackendCall.Message.of(request, body),
                 admission.gatewayHeaders(response.lastEventId(), now),
-                context.headerNames(),
                 this);
         call = Optional.of(next);
         return () -> {
--- a/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
@@ -13,6 +13,10 @@
         partitioned = true;
     }
 
+    void heal() {
+        partitioned = false;
+    }
+
     /** Returns how often the entry has queried the state, at least once in each tick of a request. */
     int queries() {
         return queries.get();
