--- a/core/src/main/java/org/baobabspindle/core/dispatch/RequestQueue.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/RequestQueue.java
@@ -4,8 +4,7 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.baobabspindle.core.time.Moment;
 
 /**
@@ -46,20 +45,34 @@
         waiting.add(new Waiter<>(request, priority, limits));
     }
 
+    /** The result of passing a request to a sink. */
+    public enum Result {
+        /** The request was accepted and leaves the queue. */
+        ACCEPTED,
+        /** No slot suits this request; another one may still be accepted. */
+        NOT_SUITED,
+        /** There is no slot for any request. */
+        FULL
+    }
+
     /**
-     * Passes the requests to a sink in queue order until the sink does not accept one. Accepted requests leave the
-     * queue.
+     * Passes the requests to a sink in queue order until there is no slot for any of them. A request that no slot suits
+     * keeps its place and does not hold up those behind it.
      *
-     * @param sink accepts a request and returns true, or returns false
+     * @param sink accepts a request or not
      * @param now the present time
      */
-    public void dispatch(Predicate<T> sink, Moment now) {
-        while (true) {
-            Optional<Waiter<T>> next = waiting.stream().min(order(now));
-            if (next.isEmpty() || !sink.test(next.get().request())) {
+    public void dispatch(Function<T, Result> sink, Moment now) {
+        List<Waiter<T>> ordered = new ArrayList<>(waiting);
+        ordered.sort(order(now));
+        for (Waiter<T> w : ordered) {
+            Result result = sink.apply(w.request());
+            if (result == Result.FULL) {
                 return;
             }
-            waiting.remove(next.get());
+            if (result == Result.ACCEPTED) {
+                waiting.remove(w);
+            }
         }
     }
 
--- a/core/src/test/java/org/baobabspindle/core/dispatch/RequestQueueTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/RequestQueueTests.java
@@ -26,7 +26,15 @@
 
     private List<Integer> dispatch(int count, Moment now) {
         List<Integer> accepted = new ArrayList<>();
-        queue.dispatch(r -> accepted.size() < count && accepted.add(r), now);
+        queue.dispatch(
+                r -> {
+                    if (accepted.size() == count) {
+                        return RequestQueue.Result.FULL;
+                    }
+                    accepted.add(r);
+                    return RequestQueue.Result.ACCEPTED;
+                },
+                now);
         return accepted;
     }
 
@@ -52,6 +60,25 @@
             assertThat(dispatch(1, at(900))).containsExactly(1);
         }
 
+        @Test
+        void requestThatNoSlotSuitsDoesNotHoldUpOthers() {
+            queue.add(1, 0, waitLimits(0));
+            queue.add(2, 1, waitLimits(0));
+            queue.add(3, 2, waitLimits(0));
+            List<Integer> accepted = new ArrayList<>();
+            queue.dispatch(
+                    r -> {
+                        if (r == 1) {
+                            return RequestQueue.Result.NOT_SUITED;
+                        }
+                        accepted.add(r);
+                        return RequestQueue.Result.ACCEPTED;
+                    },
+                    at(10));
+            assertThat(accepted).containsExactly(2, 3).inOrder();
+            assertThat(dispatch(3, at(20))).containsExactly(1);
+        }
+
         @Test
         void removesARequestAtItsTimeLimit() {
             queue.add(1, 1, waitLimits(0));
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -136,18 +136,19 @@
         expired.forEach(t -> workers.execute(t.onExpired()));
     }
 
-    private boolean assign(Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
+    private RequestQueue.Result assign(
+            Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
         int choices = FleetScaling.targetChoices(entryCount.getAsInt());
         List<Target> targets = fleet.catalog().targets(t.pool());
         Optional<Target> target = chooser.choose(
                 choices, targets, totals, x -> isUsable(x, t.avoid(), now), x -> slowTargets.contains(x.key()));
         if (target.isEmpty()) {
-            return false;
+            return t.avoid().isEmpty() ? RequestQueue.Result.FULL : RequestQueue.Result.NOT_SUITED;
         }
         loads.requestSent(target.get().key());
         rateLimits.requestSent(target.get().server().lifetime(), now);
         assigned.add(new Assignment(t, target.get()));
-        return true;
+        return RequestQueue.Result.ACCEPTED;
     }
 
     private boolean isUsable(Target target, Set<String> avoid, Moment now) {
