--- a/core/src/main/java/org/baobabspindle/core/dispatch/RelayPolicy.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/RelayPolicy.java
@@ -41,9 +41,14 @@
      *
      * @param relayed whether it was received from another entry
      * @param unreachable the number of backend servers that could not be reached for it
+     * @param othersFail whether other servers failed at the same time as the last one to which it was sent
      * @param responseBegun whether the caller has received a part of the response
      */
-    public record PendingRequest(boolean relayed, int unreachable, boolean responseBegun) {}
+    public record PendingRequest(boolean relayed, int unreachable, boolean othersFail, boolean responseBegun) {
+        private boolean serversFail() {
+            return othersFail || unreachable >= MIN_UNREACHABLE;
+        }
+    }
 
     /**
      * A call in progress.
@@ -71,7 +76,7 @@
      * @return the path
      */
     public static Path path(PendingRequest request, boolean partitioned, boolean entryAvailable) {
-        boolean relay = !request.relayed() && (partitioned || request.unreachable() >= MIN_UNREACHABLE);
+        boolean relay = !request.relayed() && (partitioned || request.serversFail());
         if (relay && entryAvailable) {
             return Path.RELAY;
         }
--- a/core/src/test/java/org/baobabspindle/core/dispatch/RelayPolicyTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/RelayPolicyTests.java
@@ -14,8 +14,8 @@
 class RelayPolicyTests {
     private static final Moment NOW = new Moment(Duration.ofMinutes(1).toNanos(), 0);
     private static final Moment LONG_AGO = NOW.minus(RelayPolicy.MIN_SILENCE.multipliedBy(2));
-    private static final PendingRequest OF_CALLER = new PendingRequest(false, 0, false);
-    private static final PendingRequest OF_ENTRY = new PendingRequest(true, 0, false);
+    private static final PendingRequest OF_CALLER = new PendingRequest(false, 0, false, false);
+    private static final PendingRequest OF_ENTRY = new PendingRequest(true, 0, false, false);
 
     @Nested
     class Paths {
@@ -27,13 +27,20 @@
 
         @Test
         void oneUnreachableServerIsNotAReasonToRelay() {
-            assertThat(RelayPolicy.path(new PendingRequest(false, 1, false), false, true))
+            assertThat(RelayPolicy.path(new PendingRequest(false, 1, false, false), false, true))
                     .isEqualTo(Path.DIRECT);
         }
 
         @Test
         void relaysAfterTwoUnreachableServers() {
-            PendingRequest request = new PendingRequest(false, 2, false);
+            PendingRequest request = new PendingRequest(false, 2, false, false);
+            assertThat(RelayPolicy.path(request, false, true)).isEqualTo(Path.RELAY);
+            assertThat(RelayPolicy.path(request, false, false)).isEqualTo(Path.DIRECT);
+        }
+
+        @Test
+        void relaysAfterAServerFailedTogetherWithOthers() {
+            PendingRequest request = new PendingRequest(false, 0, true, false);
             assertThat(RelayPolicy.path(request, false, true)).isEqualTo(Path.RELAY);
             assertThat(RelayPolicy.path(request, false, false)).isEqualTo(Path.DIRECT);
         }
@@ -47,13 +54,13 @@
         @Test
         void relayedRequestIsNeverRelayedAgain() {
             assertThat(RelayPolicy.path(OF_ENTRY, true, true)).isEqualTo(Path.NONE);
-            assertThat(RelayPolicy.path(new PendingRequest(true, 2, false), false, true))
+            assertThat(RelayPolicy.path(new PendingRequest(true, 2, true, false), false, true))
                     .isEqualTo(Path.DIRECT);
         }
 
         @Test
         void responseThatHasBegunIsContinuedDirectlyWithoutAnotherEntry() {
-            assertThat(RelayPolicy.path(new PendingRequest(false, 0, true), true, false))
+            assertThat(RelayPolicy.path(new PendingRequest(false, 0, false, true), true, false))
                     .isEqualTo(Path.DIRECT);
         }
     }
@@ -85,7 +92,7 @@
 
         @Test
         void unsentCallOfAResponseThatHasBegunIsKeptWithoutAnotherEntry() {
-            PendingRequest begun = new PendingRequest(false, 0, true);
+            PendingRequest begun = new PendingRequest(false, 0, false, true);
             assertThat(RelayPolicy.action(begun, silent(false, true, true), true, false, NOW))
                     .isEqualTo(CallAction.KEEP);
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -46,7 +46,7 @@
     /** When the first event arrived, in this call or an earlier one. */
     private Optional<Moment> answeringSince = Optional.empty();
 
-    /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
+    /** The refusal and reason of a retry that waits, see {@link RequestProgress#awaitsEvidence}. */
     private Optional<PendingRetry> pendingRetry = Optional.empty();
 
     /** The time after which the caller may retry, as stated by the entry that refused the relayed request. */
@@ -410,7 +410,7 @@
      */
     private NextStep retryOrGiveUp(Refusal otherwise, boolean budgeted, String reason, Moment now) {
         RelayPolicy.Path path = choosePath(now);
-        if (path == RelayPolicy.Path.DIRECT && context.quarantine().awaitsInvestigation(admission::suspect, now)) {
+        if (progress.awaitsEvidence(path, now)) {
             pendingRetry = Optional.of(new PendingRetry(otherwise, budgeted, reason));
             return NextStep.NONE;
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -84,6 +84,11 @@
             return false;
         }
 
+        @Override
+        public boolean othersFail(BackendServer server) {
+            return false;
+        }
+
         @Override
         public boolean heardSince(Moment since) {
             return true;
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -6,6 +6,7 @@
 import org.baobabspindle.core.dispatch.RelayPolicy;
 import org.baobabspindle.core.dispatch.RelayPolicy.CallAction;
 import org.baobabspindle.core.dispatch.RelayPolicy.Path;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 
@@ -30,6 +31,9 @@
     private int unreachable;
     private int relays;
 
+    /** The server of the last call if that has failed. */
+    private Optional<BackendServer> failedServer = Optional.empty();
+
     /** Whether the retry after the current call has been acquired already. */
     private boolean retryGranted;
 
@@ -61,6 +65,7 @@
     void sendingTo(Destination destination) {
         destination.server().ifPresent(s -> triedTargets.add(destination.key()));
         retryGranted = false;
+        failedServer = Optional.empty();
     }
 
     /** A backend server may have run the request. */
@@ -75,23 +80,28 @@
 
     /** The request could not be sent. */
     void recordUnreachable(Destination destination) {
-        if (destination.entry().isPresent()) {
-            recordFailure(destination);
-        } else {
+        if (destination.server().isPresent()) {
             refusals++;
             unreachable++;
         }
+        recordFailure(destination);
     }
 
-    /** If the destination is an entry, it does not get the request again. */
+    /** A call has failed. If the destination is an entry, it does not get the request again. */
     void recordFailure(Destination destination) {
         destination.entry().ifPresent(e -> failedEntries.add(e.id()));
+        failedServer = destination.server();
+    }
+
+    /** Returns whether other servers have failed at the same time as the last one. */
+    private boolean othersFail() {
+        return failedServer.filter(s -> context.relay().link().othersFail(s)).isPresent();
     }
 
     /** Chooses the path of the request, and the entry if it is to be relayed. */
     Path choosePath(boolean responseBegun, Moment now) {
         boolean partitioned = isPartitioned();
-        if (!partitioned && unreachable == 0) {
+        if (!partitioned && unreachable == 0 && failedServer.isEmpty()) {
             return Path.DIRECT;
         }
         nextEntry = findEntry(now);
@@ -103,7 +113,7 @@
     }
 
     private RelayPolicy.PendingRequest pending(boolean responseBegun) {
-        return new RelayPolicy.PendingRequest(admission.relayed(), unreachable, responseBegun);
+        return new RelayPolicy.PendingRequest(admission.relayed(), unreachable, othersFail(), responseBegun);
     }
 
     boolean isPartitioned() {
@@ -119,6 +129,18 @@
         return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1));
     }
 
+    /**
+     * Returns whether a retry waits until it is known whether the last server has crashed, or whether this entry is
+     * partitioned. What a partitioned entry suspects of a request does not matter to other entries.
+     */
+    boolean awaitsEvidence(Path path, Moment now) {
+        if (path == Path.RELAY && isPartitioned()) {
+            return false;
+        }
+        return context.quarantine().awaitsInvestigation(admission::suspect, now)
+                || (othersFail() && admission.checkQuarantine(now).isPresent());
+    }
+
     /**
      * Returns whether the request may be sent again after its call has ended.
      *
@@ -135,7 +157,8 @@
                 switch (path) {
                     case DIRECT -> refusals < MAX_REFUSALS
                             && admission.checkQuarantine(now).isEmpty();
-                    case RELAY -> true;
+                    case RELAY -> isPartitioned()
+                            || admission.checkQuarantine(now).isEmpty();
                     case NONE -> false;
                 };
         return allowed && now.isBefore(admission.deadline());
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
@@ -261,6 +261,14 @@
             assertThat(requestCount(0)).isEqualTo(1);
         }
 
+        @Test
+        void isRepeatedThroughAnotherEntryIfAllServersFail() throws Exception {
+            link.failAll();
+            startBeside(CLOSES, DONE);
+            assertThat(post("/safe/x").statusCode()).isEqualTo(200);
+            assertThat(requestCount(0)).isEqualTo(1);
+        }
+
         @Test
         void isTakenFromTheQueueWhenThePartitionBegins() throws Exception {
             CountDownLatch end = new CountDownLatch(1);
--- a/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
@@ -1,18 +1,25 @@
 package org.baobabspindle.gateway;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.time.Moment;
 
 /** A link to backend servers whose state is set by a test. */
 final class SwitchedLink implements BackendLink {
     private final AtomicInteger queries = new AtomicInteger();
     private volatile boolean partitioned;
+    private volatile boolean othersFail;
 
     /** Makes the entry take itself for partitioned, with all connections to backend servers silent. */
     void cut() {
         partitioned = true;
     }
 
+    /** Makes each server that fails one of several that fail at the same time. */
+    void failAll() {
+        othersFail = true;
+    }
+
     void heal() {
         partitioned = false;
     }
@@ -28,6 +35,11 @@
         return partitioned;
     }
 
+    @Override
+    public boolean othersFail(BackendServer server) {
+        return othersFail;
+    }
+
     @Override
     public boolean heardSince(Moment since) {
         return !partitioned;
