State of an entry says whether it is partitioned from the backend servers

Callers saw: entries that had lost their links to the backend servers were listed, kept groups and reported engines like all others, because no other entry could know about it. The state that entries exchange carries it now. It is written only while it holds, as the rate limits are, so that entries of earlier releases read the state of a reachable entry as before; a state without it counts as reachable. Nothing detects a partition yet: the condition is given to the node and is false outside of tests.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -29,6 +29,7 @@
     private final ServerNotices notices;
     private final RecentPages recent;
     private final BooleanSupplier isFollower;
+    private final BooleanSupplier partitioned;
     private final Map<Incarnation, Long> fetchedDigests = new ConcurrentHashMap<>();
     private volatile SuspicionListener suspicionListener = (suspects, now) -> {};
 
@@ -46,9 +47,11 @@
             Runnable onConfigurationChanged,
             ServerNotices notices,
             RecentPages recent,
-            BooleanSupplier isFollower) {
+            BooleanSupplier isFollower,
+            BooleanSupplier partitioned) {
         this.recent = recent;
         this.isFollower = isFollower;
+        this.partitioned = partitioned;
         this.notices = notices;
         this.self = self;
         this.context = context;
@@ -74,7 +77,8 @@
                 notices.recentlyLeaving(now),
                 rateLimitNotices(now),
                 isFollower.getAsBoolean(),
-                context.quarantine().digest(now));
+                context.quarantine().digest(now),
+                partitioned.getAsBoolean());
     }
 
     private List<PeerMessage.RateLimitNotice> rateLimitNotices(Moment now) {
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.baobabspindle.core.dispatch.ServerRateLimits;
 import org.baobabspindle.core.dispatch.TargetChooser;
@@ -31,6 +32,7 @@
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
+import org.baobabspindle.port.ForwardingHeaders;
 import org.baobabspindle.port.GatewaySettings;
 import org.baobabspindle.port.Platform;
 import org.baobabspindle.port.PlatformStore;
@@ -104,7 +106,7 @@
     private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
-    private GatewayNode(Platform platform, PlanPolicy policy) throws Exception {
+    private GatewayNode(Platform platform, PlanPolicy policy, BooleanSupplier partitioned) throws Exception {
         settings = platform.settings();
         threads = new QueuedThreadPool(MAX_THREADS, 4);
         threads.setName("gateway");
@@ -129,26 +131,22 @@
         ServerNotices notices = new ServerNotices(clock, log, noticeListener(dispatcher));
         EnginePort engines = platform.engines(client, notices::probeResponseReceived);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
-        context = new GatewayContext(
-                clock,
-                fleet,
-                dispatcher,
-                client,
-                notices,
-                crashGuard,
-                platform.headers(),
-                shutdown,
-                log,
-                metrics,
-                new SynchronizedRandom(random.split()),
-                mesh::entryCount,
-                settings.bounds());
+        context = createContext(dispatcher, notices, platform.headers(), random.split());
         Duration timeToLive =
                 Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
         keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
         gossip = new GatewayGossip(
-                self, context, mesh, keeper, this::isReady, this::fleetChanged, notices, recent, this::isFollower);
+                self,
+                context,
+                mesh,
+                keeper,
+                this::isReady,
+                this::fleetChanged,
+                notices,
+                recent,
+                this::isFollower,
+                partitioned);
         suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
         gossip.setSuspicionListener(suspectProber::receiveSuspects);
         crashGuard.peers(gossip);
@@ -157,6 +155,24 @@
                 context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
     }
 
+    private GatewayContext createContext(
+            Dispatcher dispatcher, ServerNotices notices, ForwardingHeaders headers, SplittableRandom random) {
+        return new GatewayContext(
+                clock,
+                fleet,
+                dispatcher,
+                client,
+                notices,
+                crashGuard,
+                headers,
+                shutdown,
+                log,
+                metrics,
+                new SynchronizedRandom(random),
+                mesh::entryCount,
+                settings.bounds());
+    }
+
     private ServerNotices.Listener noticeListener(Dispatcher dispatcher) {
         return new ServerNotices.Listener() {
             @Override
@@ -213,7 +229,7 @@
      * @throws Exception if the entry cannot start
      */
     public static void run(Platform platform, PlanPolicy policy) throws Exception {
-        GatewayNode node = new GatewayNode(platform, policy);
+        GatewayNode node = new GatewayNode(platform, policy, () -> false);
         Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
         HangupSignal.handle(() -> node.reload(platform));
         node.start();
@@ -222,7 +238,12 @@
 
     /** Starts an entry that runs until {@link #shutDown()}. */
     static GatewayNode open(Platform platform) throws Exception {
-        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
+        return open(platform, () -> false);
+    }
+
+    /** Starts an entry that counts as partitioned from the backend servers while the condition holds. */
+    static GatewayNode open(Platform platform, BooleanSupplier partitioned) throws Exception {
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN, partitioned);
         node.start();
         return node;
     }
@@ -245,7 +266,7 @@
      * @throws Exception if the entry cannot start or a request gets no response
      */
     public static void rehearse(Platform platform, List<String> urls) throws Exception {
-        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN, () -> false);
         node.start();
         for (String url : urls) {
             int status = node.client.GET(url).getStatus();
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -168,6 +168,8 @@
      * @param limits what backend servers stated about the rate of requests that they accept; not written if empty, so that
      *     entries of earlier releases can read the state
      * @param turnedAway the digest of the requests that it quarantines because they crash backend servers; 0 if none
+     * @param partitioned whether it is partitioned from the backend servers; not written unless it is, so that entries of
+     *     earlier releases can read the state
      */
     record Pulse(
             boolean ready,
@@ -179,7 +181,8 @@
             List<String> leaving,
             @JsonInclude(JsonInclude.Include.NON_EMPTY) List<RateLimitNotice> limits,
             boolean follows,
-            long turnedAway) {
+            long turnedAway,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean partitioned) {
         /** Copies the collections; absent ones are empty. */
         public Pulse {
             loads = loads == null ? Map.of() : Map.copyOf(loads);
--- a/entry/src/test/java/org/baobabspindle/peer/PulseTests.java
+++ b/entry/src/test/java/org/baobabspindle/peer/PulseTests.java
@@ -12,7 +12,12 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private static PeerMessage.Pulse pulse(List<PeerMessage.RateLimitNotice> limits) {
-        return new PeerMessage.Pulse(true, 1, 0, Map.of(), Map.of(), Map.of(), List.of(), limits, false, 0);
+        return pulse(limits, false);
+    }
+
+    private static PeerMessage.Pulse pulse(List<PeerMessage.RateLimitNotice> limits, boolean partitioned) {
+        return new PeerMessage.Pulse(
+                true, 1, 0, Map.of(), Map.of(), Map.of(), List.of(), limits, false, 0, partitioned);
     }
 
     @Test
@@ -29,4 +34,18 @@
         String written = MAPPER.writeValueAsString(pulse);
         assertThat(MAPPER.readValue(written, PeerMessage.Pulse.class)).isEqualTo(pulse);
     }
+
+    @Test
+    void stateOfReachableEntryIsWrittenAsByEarlierReleases() throws Exception {
+        String written = MAPPER.writeValueAsString(pulse(List.of()));
+        assertThat(written).doesNotContain("partitioned");
+        assertThat(MAPPER.readValue(written, PeerMessage.Pulse.class).partitioned())
+                .isFalse();
+    }
+
+    @Test
+    void partitionIsReadAsWritten() throws Exception {
+        PeerFrame frame = new PeerFrame(1, true, new PeerMessage.PulseAnswer(pulse(List.of(), true)));
+        assertThat(FrameCodec.decodeBody(FrameCodec.encodeBody(frame))).isEqualTo(frame);
+    }
 }
