Addresses for callers leave out entries that are partitioned from the backend servers

Callers saw: entries that could reach no backend server were given to callers like all others, so that their first tries failed there for as long as the partition lasted. The mesh now keeps what each entry says about its partition, and leaves those entries out, this one included, while another ready entry is left; if all are partitioned, all are listed as before. A beginning or end is exchanged with all responsive entries at once, also with those that have a request with the earlier state pending. Readiness is unaffected.

Tests: PeerMeshTests (7), PartitionedEntryTests (3), no failures. With the former choice of addresses and receivers (a trial), 4 of 7 and 3 of 3 fail.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -97,13 +97,20 @@
     void exchangeState() {
         Moment startedAt = context.clock().now();
         context.dispatcher().updateRateSharing(mesh.sharingEntries(startedAt), startedAt);
-        mesh.exchangeState(localState(), context.clock(), (from, pulse, requestedAt, now) -> {
-            context.dispatcher().updatePeerCounts(from.entry().instance(), pulse.loads(), now);
-            updateConfiguration(from, pulse, requestedAt);
-            notices.receiveLeaving(pulse.leaving());
-            notices.receiveRateLimits(pulse.limits());
-            updateCrashes(from, pulse);
-        });
+        mesh.exchangeState(localState(), context.clock(), this::stateReceived);
+    }
+
+    /** Exchanges state with all responsive peers at once. */
+    void exchangeStateWithAll() {
+        mesh.exchangeStateWithAll(localState(), context.clock(), this::stateReceived);
+    }
+
+    private void stateReceived(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment requestedAt, Moment now) {
+        context.dispatcher().updatePeerCounts(from.entry().instance(), pulse.loads(), now);
+        updateConfiguration(from, pulse, requestedAt);
+        notices.receiveLeaving(pulse.leaving());
+        notices.receiveRateLimits(pulse.limits());
+        updateCrashes(from, pulse);
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -86,6 +86,7 @@
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> daemonThread(r, "timer"));
     private final ThreadPoolExecutor peerWorkers =
             (ThreadPoolExecutor) Executors.newFixedThreadPool(PEER_WORKERS, r -> daemonThread(r, "peer-worker"));
+    private final BooleanSupplier partitioned;
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
@@ -106,7 +107,11 @@
     private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
+    /** Whether this entry was partitioned from the backend servers at the last check. */
+    private boolean wasPartitioned;
+
     private GatewayNode(Platform platform, PlanPolicy policy, BooleanSupplier partitioned) throws Exception {
+        this.partitioned = partitioned;
         settings = platform.settings();
         threads = new QueuedThreadPool(MAX_THREADS, 4);
         threads.setName("gateway");
@@ -118,7 +123,7 @@
         fleet = new FleetTable(platform.decoder(), log);
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
-        mesh = new PeerMesh(self, peerWorkers, traffic, log);
+        mesh = new PeerMesh(self, partitioned, peerWorkers, traffic, log);
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
         Dispatcher dispatcher = new Dispatcher(
@@ -326,6 +331,7 @@
         scheduleEvery(TICK_INTERVAL, () -> context.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, this::checkPartition);
         scheduleEvery(KEEPER_INTERVAL, this::runKeeper);
         scheduleEvery(SLOW_TARGET_CHECK_INTERVAL, this::logSlowTargets);
         scheduleEvery(LEASE_RENEWAL_INTERVAL, this::renewLease);
@@ -460,6 +466,15 @@
                 .apply(lease);
     }
 
+    /** Informs the other entries at once when a partition from the backend servers begins or ends. */
+    private void checkPartition() {
+        boolean partitionedNow = partitioned.getAsBoolean();
+        if (partitionedNow != wasPartitioned) {
+            wasPartitioned = partitionedNow;
+            gossip.exchangeStateWithAll();
+        }
+    }
+
     private boolean isReady() {
         return fleet.isComplete() && announced && !shutdown.inProgress();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.baobabspindle.core.group.Rendezvous;
 import org.baobabspindle.core.id.AvailabilityZone;
@@ -52,6 +53,7 @@
     private static final int MAX_ADDRESSES = 64;
 
     private final EntryAnnouncement self;
+    private final BooleanSupplier partitioned;
     private final PeerClient client;
     private final EventLog log;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
@@ -63,6 +65,7 @@
         private Optional<Moment> lastResponseAt = Optional.empty();
         private boolean ready;
         private boolean follower;
+        private boolean partitioned;
         private boolean requestPending;
         private long lastRequestRound;
         private Map<String, Double> demand = Map.of();
@@ -71,6 +74,14 @@
         Peer(EntryAnnouncement entry) {
             this.entry = entry;
         }
+
+        void update(PeerMessage.Pulse pulse) {
+            ready = pulse.ready();
+            follower = pulse.follows();
+            partitioned = pulse.partitioned();
+            demand = pulse.demand();
+            staging = pulse.staging();
+        }
     }
 
     /** Receives the state of another entry. */
@@ -78,8 +89,9 @@
         void stateReceived(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment requestedAt, Moment now);
     }
 
-    PeerMesh(EntryAnnouncement self, Executor workers, PeerTraffic traffic, EventLog log) {
+    PeerMesh(EntryAnnouncement self, BooleanSupplier partitioned, Executor workers, PeerTraffic traffic, EventLog log) {
         this.self = self;
+        this.partitioned = partitioned;
         this.client = new PeerClient(self.entry(), this::secret, workers, traffic);
         this.log = log;
     }
@@ -122,7 +134,17 @@
 
     /** Exchanges state with the least recently queried peers that have no pending request. */
     void exchangeState(PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
-        for (Peer p : selectPeersToQuery()) {
+        exchangeState(selectPeersToQuery(), localState, clock, listener);
+    }
+
+    /** Exchanges state with all responsive peers, whether or not they have a pending request with an earlier state. */
+    void exchangeStateWithAll(PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
+        exchangeState(alivePeers(clock.now()), localState, clock, listener);
+    }
+
+    private void exchangeState(
+            List<Peer> receivers, PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
+        for (Peer p : receivers) {
             Moment requestedAt = clock.now();
             PeerMessage request = new PeerMessage.PulseAsk(self.entry(), localState);
             client.ask(p.entry.peerAddress(), request, REQUEST_TIMEOUT).whenComplete((answer, failure) -> {
@@ -156,20 +178,14 @@
             log.write("peer", "first response from the entry", "entry", p.entry.entry());
         }
         p.lastResponseAt = Optional.of(now);
-        p.ready = pulse.ready();
-        p.follower = pulse.follows();
-        p.demand = pulse.demand();
-        p.staging = pulse.staging();
+        p.update(pulse);
     }
 
     /** Updates the state of a peer with the state that its request carried. */
     synchronized void stateReceived(Incarnation from, PeerMessage.Pulse pulse) {
         Peer p = peers.get(from.instance());
         if (p != null && p.entry.entry().equals(from)) {
-            p.ready = pulse.ready();
-            p.follower = pulse.follows();
-            p.demand = pulse.demand();
-            p.staging = pulse.staging();
+            p.update(pulse);
         }
     }
 
@@ -322,17 +338,13 @@
         return result;
     }
 
-    /** Returns addresses of ready entries in random order, only those of the caller's zone if there are enough. */
+    /**
+     * Returns addresses of ready entries in random order, only those of the caller's zone if there are enough. Entries
+     * that are partitioned from the backend servers are left out unless all ready entries are.
+     */
     List<String> addresses(Optional<AvailabilityZone> zone, boolean selfReady, Moment now) {
-        List<EntryAnnouncement> ready = new ArrayList<>();
-        if (selfReady) {
-            ready.add(self);
-        }
-        for (Peer p : alivePeers(now)) {
-            if (p.ready) {
-                ready.add(p.entry);
-            }
-        }
+        List<EntryAnnouncement> reachable = readyEntries(selfReady, false, now);
+        List<EntryAnnouncement> ready = reachable.isEmpty() ? readyEntries(selfReady, true, now) : reachable;
         List<EntryAnnouncement> inZone = ready.stream()
                 .filter(e -> zone.filter(e.zone()::equals).isPresent())
                 .toList();
@@ -343,4 +355,18 @@
                 .map(EntryAnnouncement::callerAddress)
                 .toList();
     }
+
+    /** Returns the ready entries that are partitioned from the backend servers, or those that are not. */
+    private List<EntryAnnouncement> readyEntries(boolean selfReady, boolean partitionedOnes, Moment now) {
+        List<EntryAnnouncement> result = new ArrayList<>();
+        if (selfReady && partitioned.getAsBoolean() == partitionedOnes) {
+            result.add(self);
+        }
+        for (Peer p : alivePeers(now)) {
+            if (p.ready && p.partitioned == partitionedOnes) {
+                result.add(p.entry);
+            }
+        }
+        return result;
+    }
 }
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
@@ -0,0 +1,55 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests what two entries tell callers while one or both are partitioned from the backend servers. */
+class PartitionedEntryTests extends TwoEntryTestSupport {
+    private final AtomicBoolean partitioned = new AtomicBoolean();
+    private final AtomicBoolean otherPartitioned = new AtomicBoolean();
+    private String address;
+    private String otherAddress;
+
+    @BeforeEach
+    void startBothNodes() throws Exception {
+        platform = new FakePlatform(configuration(), List.of());
+        node = GatewayNode.open(platform, partitioned::get);
+        await(() -> status(platform.readinessUrl()) == 200);
+        startOtherNode(otherPartitioned::get);
+        address = "127.0.0.1:" + platform.callerPort();
+        otherAddress = "127.0.0.1:" + otherPlatform.callerPort();
+    }
+
+    private void awaitAddresses(Set<String> expected) throws InterruptedException {
+        await(() -> addressesFrom(platform).equals(expected)
+                && addressesFrom(otherPlatform).equals(expected));
+    }
+
+    @Test
+    void callersAreNotSentToPartitionedEntry() throws Exception {
+        partitioned.set(true);
+        awaitAddresses(Set.of(otherAddress));
+        partitioned.set(false);
+        awaitAddresses(Set.of(address, otherAddress));
+    }
+
+    @Test
+    void addressesIncludePartitionedEntriesIfAllArePartitioned() throws Exception {
+        partitioned.set(true);
+        awaitAddresses(Set.of(otherAddress));
+        otherPartitioned.set(true);
+        awaitAddresses(Set.of(address, otherAddress));
+    }
+
+    @Test
+    void partitionedEntryStaysReady() throws Exception {
+        partitioned.set(true);
+        awaitAddresses(Set.of(otherAddress));
+        assertThat(status(platform.readinessUrl())).isEqualTo(200);
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -0,0 +1,174 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerMessage;
+import org.baobabspindle.peer.PeerSecret;
+import org.baobabspindle.peer.PeerServer;
+import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.FeedRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class PeerMeshTests {
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("z1");
+    private static final AvailabilityZone OTHER_ZONE = AvailabilityZone.of("z2");
+    private static final String SECRET = "a-secret-for-tests";
+    private static final EntryAnnouncement SELF =
+            new EntryAnnouncement(Incarnation.of("self", 1), "127.0.0.1", 8000, 9000, ZONE, SECRET);
+
+    private final GatewayClock clock = new GatewayClock();
+    private final ExecutorService workers = Executors.newFixedThreadPool(4);
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final AtomicBoolean partitioned = new AtomicBoolean();
+    private final PeerMesh mesh = new PeerMesh(SELF, partitioned::get, workers, traffic, new EventLog());
+    private final List<TestPeer> peers = new ArrayList<>();
+
+    /** Another entry, which answers the exchange of state. */
+    private final class TestPeer {
+        private final PeerServer server;
+        private final EntryAnnouncement announcement;
+        private final AtomicInteger statesReceived = new AtomicInteger();
+        private volatile boolean partitioned;
+        private volatile boolean ready = true;
+
+        TestPeer(String id, AvailabilityZone zone) throws IOException {
+            server = PeerServer.start("127.0.0.1", 0, new PeerSecret(SECRET), workers, this::respond, traffic);
+            announcement = new EntryAnnouncement(
+                    Incarnation.of(id, 1), "127.0.0.1", 8001 + peers.size(), server.port(), zone, SECRET);
+        }
+
+        private PeerMessage respond(PeerMessage request) {
+            statesReceived.incrementAndGet();
+            return new PeerMessage.PulseAnswer(pulse(ready, partitioned));
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        mesh.close();
+        for (TestPeer p : peers) {
+            p.server.close();
+        }
+        workers.shutdownNow();
+    }
+
+    private static PeerMessage.Pulse pulse(boolean ready, boolean partitioned) {
+        return new PeerMessage.Pulse(
+                ready, 1, 0, Map.of(), Map.of(), Map.of(), List.of(), List.of(), false, 0, partitioned);
+    }
+
+    private TestPeer startPeer(String id, AvailabilityZone zone) throws Exception {
+        TestPeer peer = new TestPeer(id, zone);
+        peers.add(peer);
+        mesh.announcementsRead(List.of(new FeedRecord(id, Optional.of(peer.announcement.toJson()))));
+        return peer;
+    }
+
+    /** Exchanges state until every peer has responded to a request that was sent after this call. */
+    private void exchangeWithAll() throws InterruptedException {
+        int[] responses = new int[peers.size()];
+        for (int round = 0; round < FleetScaling.roundsToReachAll(peers.size() + 1); round++) {
+            mesh.exchangeState(pulse(true, partitioned.get()), clock, (from, pulse, requestedAt, now) -> {
+                synchronized (responses) {
+                    peers.stream().filter(p -> p.announcement.equals(from)).forEach(p -> responses[peers.indexOf(p)]++);
+                }
+            });
+        }
+        GatewayTestSupport.await(() -> {
+            synchronized (responses) {
+                return Arrays.stream(responses).allMatch(n -> n > 0);
+            }
+        });
+    }
+
+    private List<String> addresses(Optional<AvailabilityZone> zone) {
+        return mesh.addresses(zone, true, clock.now());
+    }
+
+    @Test
+    void changeIsExchangedWithAllPeersAtOnce() throws Exception {
+        for (int i = 0; i < 2 * FleetScaling.PEERS_PER_ROUND; i++) {
+            startPeer("p" + i, ZONE);
+        }
+        exchangeWithAll();
+        List<Integer> before = peers.stream().map(p -> p.statesReceived.get()).toList();
+        mesh.exchangeStateWithAll(pulse(true, true), clock, (from, pulse, requestedAt, now) -> {});
+        GatewayTestSupport.await(() -> {
+            for (int i = 0; i < peers.size(); i++) {
+                if (peers.get(i).statesReceived.get() == before.get(i)) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    @Test
+    void addressesLeaveOutPartitionedPeer() throws Exception {
+        TestPeer a = startPeer("a", ZONE);
+        TestPeer b = startPeer("b", ZONE);
+        a.partitioned = true;
+        exchangeWithAll();
+        assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress(), b.announcement.callerAddress());
+    }
+
+    @Test
+    void stateThatPeerSendsChangesAddressesAtOnce() throws Exception {
+        TestPeer a = startPeer("a", ZONE);
+        exchangeWithAll();
+        assertThat(addresses(Optional.empty())).contains(a.announcement.callerAddress());
+        mesh.stateReceived(a.announcement.entry(), pulse(true, true));
+        assertThat(addresses(Optional.empty())).doesNotContain(a.announcement.callerAddress());
+    }
+
+    @Test
+    void callersOfZoneWhoseEntriesArePartitionedGetEntriesOfOtherZones() throws Exception {
+        partitioned.set(true);
+        startPeer("a", ZONE).partitioned = true;
+        TestPeer b = startPeer("b", OTHER_ZONE);
+        exchangeWithAll();
+        assertThat(addresses(Optional.of(ZONE))).containsExactly(b.announcement.callerAddress());
+    }
+
+    /** An entry that is not ready does not replace one that is partitioned. */
+    @Test
+    void addressesIncludePartitionedEntryIfNoOtherIsReady() throws Exception {
+        partitioned.set(true);
+        startPeer("a", ZONE).ready = false;
+        exchangeWithAll();
+        assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress());
+    }
+
+    @Test
+    void partitionedEntryWithoutPeersIsListed() {
+        partitioned.set(true);
+        assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress());
+    }
+
+    @Test
+    void unresponsivePeerDoesNotReplacePartitionedEntry() throws Exception {
+        partitioned.set(true);
+        startPeer("a", ZONE);
+        exchangeWithAll();
+        Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+        assertThat(mesh.addresses(Optional.empty(), true, later)).containsExactly(SELF.callerAddress());
+    }
+}
--- a/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
@@ -4,6 +4,8 @@
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 
 /** Base of tests with a second gateway that shares the store with the first, and with servers that can crash. */
@@ -20,17 +22,28 @@
 
     /** Starts the second gateway and waits until both know each other. */
     void startOtherNode() throws Exception {
+        startOtherNode(() -> false);
+    }
+
+    /** Starts the second gateway, which counts as partitioned from the backend servers while the condition holds. */
+    void startOtherNode(BooleanSupplier partitioned) throws Exception {
         otherPlatform = new FakePlatform("other", platform);
-        otherNode = GatewayNode.open(otherPlatform);
+        otherNode = GatewayNode.open(otherPlatform, partitioned);
         await(() -> status(otherPlatform.readinessUrl()) == 200);
         await(() -> knownEntries(platform) == 2 && knownEntries(otherPlatform) == 2);
     }
 
     private int knownEntries(FakePlatform entry) {
+        return addressesFrom(entry).size();
+    }
+
+    /** Returns the addresses that an entry gives to callers. */
+    Set<String> addressesFrom(FakePlatform entry) {
         try {
             HttpRequest ask =
                     HttpRequest.newBuilder(URI.create(entry.directoryUrl())).build();
-            return http.send(ask, HttpResponse.BodyHandlers.ofString()).body().split(",").length;
+            return Set.of(
+                    http.send(ask, HttpResponse.BodyHandlers.ofString()).body().split(","));
         } catch (IOException | InterruptedException e) {
             throw new IllegalStateException(e);
         }
