A release of the lease and a renewal are never pending at the store together

A release did not wait for a pending renewal, whose grant this entry then ignored; if the store received the renewal last, it held the partitions for an entry that did not use them until the time to live had passed. And the end of that renewal allowed the next one while the release was still pending; a store that received the release last gave partitions away that this entry used. An entry that releases its lease at every partition from the backend servers meets both more often. A renewal that was pending at a release is now followed by another release, and no renewal is sent while a call is pending.

--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
@@ -38,7 +38,9 @@
     private Moment usableFrom;
     private long generation;
     private OptionalLong era = OptionalLong.empty();
-    private boolean renewing;
+
+    /** The calls to the store that are pending; it may receive concurrent ones in any order. */
+    private int pendingCalls;
 
     /** The number of releases so far; a grant that was requested before a release is ignored. */
     private int releaseCount;
@@ -58,18 +60,23 @@
         long knownGeneration;
         int requestReleaseCount;
         synchronized (this) {
-            if (renewing) {
+            if (pendingCalls > 0) {
                 return;
             }
-            renewing = true;
+            pendingCalls++;
             knownGeneration = generation;
             requestReleaseCount = releaseCount;
         }
         store.renewLease(member, timeToLive, knownGeneration).whenComplete((grant, failure) -> {
+            boolean releasedMeanwhile;
             synchronized (this) {
-                renewing = false;
+                releasedMeanwhile = requestReleaseCount != releaseCount;
+                pendingCalls -= releasedMeanwhile ? 0 : 1;
             }
-            if (failure == null) {
+            if (releasedMeanwhile) {
+                // The store may have received the release first, and hold the partitions for this entry.
+                releaseAtStore();
+            } else if (failure == null) {
                 grantReceived(grant, requestedAt, requestReleaseCount);
             }
         });
@@ -142,11 +149,16 @@
             partitions = Set.of();
             term = Optional.empty();
             releaseCount++;
-            renewing = true;
+            pendingCalls++;
         }
+        releaseAtStore();
+    }
+
+    /** Sends a release, which already counts as a pending call. */
+    private void releaseAtStore() {
         store.releaseLease(member).whenComplete((done, failure) -> {
             synchronized (this) {
-                renewing = false;
+                pendingCalls--;
             }
             log.write(
                     "lease",
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -20,7 +20,9 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Liveness;
@@ -77,6 +79,13 @@
             CompletableFuture.completedFuture(OrderAnswer.REFUSED);
     private volatile Set<Integer> partitions = Set.of();
     private volatile Optional<CompletableFuture<LeaseGrant>> renewals = Optional.empty();
+    private volatile Optional<CompletableFuture<Void>> releases = Optional.empty();
+    private final AtomicInteger renewalCount = new AtomicInteger();
+    private final AtomicInteger releaseCount = new AtomicInteger();
+
+    /** The member that holds all partitions, among the entries that share the store; empty if there is none. */
+    private final AtomicReference<String> leaseHolder;
+
     private final InstanceId instance;
     private final List<FeedRecord> entries;
     private final AtomicLong era;
@@ -89,12 +98,18 @@
     record SentOrder(InstanceId engine, Class<? extends EngineOrder> kind) {}
 
     FakePlatform(FleetConfiguration configuration, List<BackendServer> servers) throws IOException {
-        this("entry", configuration, servers, new CopyOnWriteArrayList<>(), new AtomicLong(1));
+        this(
+                "entry",
+                configuration,
+                servers,
+                new CopyOnWriteArrayList<>(),
+                new AtomicLong(1),
+                new AtomicReference<>(""));
     }
 
     /** Creates the platform of another entry, which shares the store with the first one. */
     FakePlatform(String instance, FakePlatform first) throws IOException {
-        this(instance, first.configuration, first.servers, first.entries, first.era);
+        this(instance, first.configuration, first.servers, first.entries, first.era, first.leaseHolder);
     }
 
     private FakePlatform(
@@ -102,8 +117,10 @@
             FleetConfiguration configuration,
             List<BackendServer> servers,
             List<FeedRecord> entries,
-            AtomicLong era)
+            AtomicLong era,
+            AtomicReference<String> leaseHolder)
             throws IOException {
+        this.leaseHolder = leaseHolder;
         this.era = era;
         this.instance = InstanceId.of(instance);
         this.entries = entries;
@@ -203,6 +220,29 @@
         renewals = Optional.of(answer);
     }
 
+    /** Makes all later releases of leases complete with a future. */
+    void answerReleases(CompletableFuture<Void> answer) {
+        releases = Optional.of(answer);
+    }
+
+    /** Returns how many renewals of leases were requested. */
+    int renewalCount() {
+        return renewalCount.get();
+    }
+
+    /** Returns how many releases of leases were requested. */
+    int releaseCount() {
+        return releaseCount.get();
+    }
+
+    /**
+     * Returns the entry that was granted the partitions first and has not released them, among the entries that share
+     * the store; empty if there is none. Grants do not expire.
+     */
+    String leaseHolder() {
+        return leaseHolder.get().replaceFirst("\\W.*", "");
+    }
+
     /** Makes all later orders to engines complete with a future. */
     void answerOrders(CompletableFuture<OrderAnswer> answer) {
         orderAnswer = answer;
@@ -331,12 +371,17 @@
 
     @Override
     public CompletableFuture<LeaseGrant> renewLease(String member, Duration timeToLive, long generation) {
-        return renewals.orElseGet(() -> answer(new LeaseGrant(era.get(), 1, partitions)));
+        renewalCount.incrementAndGet();
+        boolean holds =
+                leaseHolder.compareAndSet("", member) || leaseHolder.get().equals(member);
+        return renewals.orElseGet(() -> answer(new LeaseGrant(era.get(), 1, holds ? partitions : Set.of())));
     }
 
     @Override
     public CompletableFuture<Void> releaseLease(String member) {
-        return answer(null);
+        releaseCount.incrementAndGet();
+        leaseHolder.compareAndSet(member, "");
+        return releases.orElseGet(() -> answer(null));
     }
 
     @Override
--- a/entry/src/test/java/org/baobabspindle/gateway/KeeperLeaseTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/KeeperLeaseTests.java
@@ -75,4 +75,33 @@
         lease.renew();
         assertThat(lease.holdsPartition(0, clock.now().plus(AFTER_HANDOVER))).isTrue();
     }
+
+    /** The store may receive the release before the renewal, and grant the partitions to this entry again. */
+    @Test
+    void releasesPartitionsAgainIfRenewalWasPendingAtRelease() {
+        CompletableFuture<LeaseGrant> late = new CompletableFuture<>();
+        platform.answerRenewals(late);
+        lease.renew();
+        lease.release();
+        assertThat(platform.releaseCount()).isEqualTo(1);
+        late.complete(new LeaseGrant(1, 1, Set.of(0)));
+        assertThat(platform.releaseCount()).isEqualTo(2);
+    }
+
+    /** A release that the store receives after a renewal ends the lease that this entry believes to hold. */
+    @Test
+    void doesNotRenewWhileReleaseIsPending() {
+        CompletableFuture<LeaseGrant> renewal = new CompletableFuture<>();
+        platform.answerRenewals(renewal);
+        lease.renew();
+        CompletableFuture<Void> release = new CompletableFuture<>();
+        platform.answerReleases(release);
+        lease.release();
+        renewal.complete(new LeaseGrant(1, 1, Set.of(0)));
+        lease.renew();
+        assertThat(platform.renewalCount()).isEqualTo(1);
+        release.complete(null);
+        lease.renew();
+        assertThat(platform.renewalCount()).isEqualTo(2);
+    }
 }
