An entry that is partitioned from the backend servers gives up its lease at once

Callers saw: keepers that could reach no engine kept their partitions of the fabric domains for as long as the partition lasted; no other entry could open, form or dissolve groups there. A partitioned entry releases its lease within one tick and is no candidate for a keeper until it is reachable again; it keeps no demotion delay. The ranks of the others leave it out, so that the next in rank takes its place in a large fleet. The keeper does not run while its entry is partitioned.

Tests: KeeperCandidacyTests (7), KeeperRanksTests (4), PartitionedEntryTests (5), PeerMeshTests (8), no failures.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -425,7 +425,10 @@
         Moment now = clock.now();
         fleet.applyDueServerChanges(now);
         Optional<FleetConfiguration> configuration = fleet.configuration();
-        if (configuration.isEmpty() || shutdown.inProgress() || lease.term(now).isEmpty()) {
+        if (configuration.isEmpty()
+                || shutdown.inProgress()
+                || partitioned.getAsBoolean()
+                || lease.term(now).isEmpty()) {
             return;
         }
         keeper.tick(
@@ -434,7 +437,7 @@
                         fleet.servers(),
                         mesh.totalDemand(context.dispatcher().demand(now), now),
                         mesh.stagingOfPeers(now),
-                        KeeperRanks.share(mesh.rankAmongAlive(now), mesh.aliveEntryCount(now))),
+                        KeeperRanks.share(mesh.rankAmongCandidates(now), mesh.candidateCount(now))),
                 now);
     }
 
@@ -456,21 +459,25 @@
         }
     }
 
-    private void renewLease() {
+    private synchronized void renewLease() {
         if (!fleet.isComplete() || shutdown.inProgress()) {
             return;
         }
         Moment now = clock.now();
         candidacy
-                .decide(mesh.rankAmongAlive(now), lease.holdsAnyPartition(), now)
+                .decide(mesh.rankAmongCandidates(now), lease.holdsAnyPartition(), partitioned.getAsBoolean(), now)
                 .apply(lease);
     }
 
-    /** Informs the other entries at once when a partition from the backend servers begins or ends. */
+    /**
+     * Releases or requests the lease and informs the other entries at once when a partition from the backend servers
+     * begins or ends.
+     */
     private void checkPartition() {
         boolean partitionedNow = partitioned.getAsBoolean();
         if (partitionedNow != wasPartitioned) {
             wasPartitioned = partitionedNow;
+            renewLease();
             gossip.exchangeStateWithAll();
         }
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperCandidacy.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperCandidacy.java
@@ -6,7 +6,8 @@
 /**
  * Decides whether an entry acts as a keeper. Only a few entries of a large fleet do, because the renewals of all
  * entries would load the store. A keeper that is no longer among the lowest ranks stays a keeper for a while, so that
- * partitions do not move to another keeper and back when an entry is unresponsive for a moment.
+ * partitions do not move to another keeper and back when an entry is unresponsive for a moment. An entry that is
+ * partitioned from the backend servers is no keeper, since its orders would not arrive.
  */
 final class KeeperCandidacy {
     /**
@@ -58,12 +59,15 @@
     /**
      * Returns what the entry does with its lease now.
      *
-     * @param rank the number of responsive entries that precede this one
-     * @param holds whether this entry holds partitions
+     * @param rank the number of candidates that precede this one
+     * @param holds whether this entry holds partitions of the lease
+     * @param partitioned whether this entry is partitioned from the backend servers
      * @param now the current time
      */
-    LeaseAction decide(int rank, boolean holds, Moment now) {
-        if (rank < MAX_KEEPERS) {
+    LeaseAction decide(int rank, boolean holds, boolean partitioned, Moment now) {
+        if (partitioned) {
+            lastEligible = now.minus(DEMOTION_DELAY);
+        } else if (rank < MAX_KEEPERS) {
             lastEligible = now;
         }
         if (now.since(lastEligible).compareTo(DEMOTION_DELAY) < 0) {
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -272,9 +272,16 @@
         return peers.size() + 1;
     }
 
-    /** Returns the number of responsive entries, this one included. */
-    int aliveEntryCount(Moment now) {
-        return alivePeers(now).size() + 1;
+    /** Returns the peers that are responsive and not partitioned from the backend servers. */
+    private synchronized List<Peer> connectedPeers(Moment now) {
+        List<Peer> result = new ArrayList<>(alivePeers(now));
+        result.removeIf(p -> p.partitioned);
+        return result;
+    }
+
+    /** Returns the number of candidates for a keeper, this entry included. */
+    int candidateCount(Moment now) {
+        return connectedPeers(now).size() + 1;
     }
 
     /**
@@ -298,10 +305,14 @@
         return responsive.size() * 2 > recent.size() ? responsive : recent;
     }
 
-    /** Returns the rank of this entry among the responsive entries as a candidate for a keeper. */
-    int rankAmongAlive(Moment now) {
-        List<InstanceId> others =
-                alivePeers(now).stream().map(p -> p.entry.entry().instance()).toList();
+    /**
+     * Returns the rank of this entry among the candidates for a keeper: the entries that are responsive and not
+     * partitioned from the backend servers.
+     */
+    int rankAmongCandidates(Moment now) {
+        List<InstanceId> others = connectedPeers(now).stream()
+                .map(p -> p.entry.entry().instance())
+                .toList();
         return KeeperRanks.rank(self.entry().instance(), others);
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,9 +20,11 @@
     @BeforeEach
     void startBothNodes() throws Exception {
         platform = new FakePlatform(configuration(), List.of());
+        platform.grantPartitions(Set.of(0));
         node = GatewayNode.open(platform, partitioned::get);
         await(() -> status(platform.readinessUrl()) == 200);
         startOtherNode(otherPartitioned::get);
+        otherPlatform.grantPartitions(Set.of(0));
         address = "127.0.0.1:" + platform.callerPort();
         otherAddress = "127.0.0.1:" + otherPlatform.callerPort();
     }
@@ -52,4 +56,30 @@
         awaitAddresses(Set.of(otherAddress));
         assertThat(status(platform.readinessUrl())).isEqualTo(200);
     }
+
+    /** The grants of the platform do not expire, so another entry gets the partitions only if they are released. */
+    @Test
+    void otherEntryTakesOverPartitionsOfLeaseWithoutDelay() throws Exception {
+        otherPartitioned.set(true);
+        await(() -> platform.leaseHolder().equals("entry"));
+        otherPartitioned.set(false);
+        long startedAt = System.nanoTime();
+        partitioned.set(true);
+        await(() -> platform.leaseHolder().equals("other"));
+        assertThat(Duration.ofNanos(System.nanoTime() - startedAt)).isLessThan(KeeperCandidacy.DEMOTION_DELAY);
+    }
+
+    @Test
+    void nobodyHoldsLeaseWhileAllEntriesArePartitioned() throws Exception {
+        partitioned.set(true);
+        awaitAddresses(Set.of(otherAddress));
+        otherPartitioned.set(true);
+        awaitAddresses(Set.of(address, otherAddress));
+        await(() -> platform.leaseHolder().isEmpty());
+        int renewals = platform.renewalCount() + otherPlatform.renewalCount();
+        int releases = platform.releaseCount() + otherPlatform.releaseCount();
+        TimeUnit.MILLISECONDS.sleep(1_000);
+        assertThat(platform.renewalCount() + otherPlatform.renewalCount()).isEqualTo(renewals);
+        assertThat(platform.releaseCount() + otherPlatform.releaseCount()).isEqualTo(releases);
+    }
 }
