A keeper dissolves no group on reports of entries that are partitioned from the backend servers

Two entries of one zone lose their links together, so their reports do not confirm each other. Now an engine counts as lost only if it does not answer a probe of the keeper itself, whose link to other engines works, and if the report was not withdrawn meanwhile: an entry that says that it is partitioned withdraws what it reported just before it noticed. A partitioned entry reports nothing and examines no reports, and forgets at the beginning and the end of its partition which engines it took for lost. Several reports of the same engine share one probe.

--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -111,6 +111,13 @@
         notices.receiveLeaving(pulse.leaving());
         notices.receiveRateLimits(pulse.limits());
         updateCrashes(from, pulse);
+        withdrawReports(from.entry().instance(), pulse);
+    }
+
+    private void withdrawReports(InstanceId from, PeerMessage.Pulse pulse) {
+        if (pulse.partitioned()) {
+            keeper.withdrawReports(from);
+        }
     }
 
     /**
@@ -170,6 +177,7 @@
             notices.receiveRateLimits(p.pulse().limits());
             Moment now = context.clock().now();
             context.dispatcher().updatePeerCounts(p.from().instance(), p.pulse().loads(), now);
+            withdrawReports(p.from().instance(), p.pulse());
             return new PeerMessage.PulseAnswer(localState());
         } else if (message instanceof PeerMessage.ConfigurationAsk) {
             return new PeerMessage.ConfigurationAnswer(
@@ -186,19 +194,33 @@
                     .<PeerMessage>map(StoreRecords::toMessage)
                     .orElse(new PeerMessage.Failed("the list is not followed here"));
         } else if (message instanceof PeerMessage.EnginesSuspected s) {
-            Set<InstanceId> ids = new HashSet<>(s.engines());
-            List<BackendServer> suspects = context.fleet().servers().stream()
-                    .filter(x -> ids.contains(x.id()))
-                    .toList();
-            suspicionListener.enginesSuspected(suspects, context.clock().now());
-            keeper.reportSuspects(s.by(), suspects);
+            receiveSuspects(s);
             return new PeerMessage.Noted();
         }
         return new PeerMessage.Failed("not a message between gateways");
     }
 
-    /** Reports engines that do not respond to this entry to all keepers, the one of this entry included. */
+    /** Applies a report of unresponsive engines, unless its sender or this entry is partitioned from them. */
+    private void receiveSuspects(PeerMessage.EnginesSuspected report) {
+        if (partitioned.getAsBoolean() || mesh.isPartitioned(report.by())) {
+            return;
+        }
+        Set<InstanceId> ids = new HashSet<>(report.engines());
+        List<BackendServer> suspects = context.fleet().servers().stream()
+                .filter(x -> ids.contains(x.id()))
+                .toList();
+        suspicionListener.enginesSuspected(suspects, context.clock().now());
+        keeper.reportSuspects(report.by(), suspects);
+    }
+
+    /**
+     * Reports engines that do not respond to this entry to all keepers, the one of this entry included, unless this
+     * entry is partitioned from the backend servers.
+     */
     void broadcastSuspects(List<BackendServer> suspects) {
+        if (partitioned.getAsBoolean()) {
+            return;
+        }
         InstanceId by = self.entry().instance();
         keeper.reportSuspects(by, suspects);
         List<InstanceId> ids = suspects.stream().map(BackendServer::id).toList();
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -140,7 +140,7 @@
         Duration timeToLive =
                 Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
         lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
+        keeper = new GroupKeeper(engines, settings, policy, lease, partitioned, clock, log, metrics);
         gossip = new GatewayGossip(
                 self,
                 context,
@@ -477,6 +477,7 @@
         boolean partitionedNow = partitioned.getAsBoolean();
         if (partitionedNow != wasPartitioned) {
             wasPartitioned = partitionedNow;
+            keeper.discardSuspicions();
             renewLease();
             gossip.exchangeStateWithAll();
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.EngineModel;
 import org.baobabspindle.core.fleet.EngineProfile;
@@ -27,6 +28,7 @@
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
 import org.baobabspindle.port.EnginePort;
+import org.baobabspindle.port.EngineReport;
 import org.baobabspindle.port.GatewaySettings;
 import org.baobabspindle.port.OrderAnswer;
 
@@ -50,12 +52,14 @@
     private final GatewaySettings settings;
     private final PlanPolicy policy;
     private final KeeperLease lease;
+    private final BooleanSupplier partitioned;
     private final GatewayClock clock;
     private final EventLog log;
     private final GatewayMetrics metrics;
     private final Formation formation = new Formation();
     private final OrderSequences sequences = new OrderSequences();
     private final SuspicionReports suspicionReports = new SuspicionReports();
+    private final Set<BackendServer.Lifetime> probing = new HashSet<>();
     private final WeightLoadLimiter loadLimiter;
     private final Map<BackendServer.Lifetime, Moment> lostUntil = new HashMap<>();
     private final Set<BackendServer.Lifetime> inFlight = new HashSet<>();
@@ -68,6 +72,7 @@
             GatewaySettings settings,
             PlanPolicy policy,
             KeeperLease lease,
+            BooleanSupplier partitioned,
             GatewayClock clock,
             EventLog log,
             GatewayMetrics metrics) {
@@ -75,6 +80,7 @@
         this.settings = settings;
         this.policy = policy;
         this.lease = lease;
+        this.partitioned = partitioned;
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
@@ -331,10 +337,14 @@
     }
 
     /**
-     * Handles a report of engines that do not respond to an entry. An engine counts as lost once a second entry reports
-     * it too or it does not answer a probe of this entry.
+     * Handles a report of engines that do not respond to an entry. An engine counts as lost if it does not answer a
+     * probe of this entry either, unless the report is withdrawn meanwhile or this entry is partitioned from the backend
+     * servers.
      */
     void reportSuspects(InstanceId by, Collection<BackendServer> suspects) {
+        if (partitioned.getAsBoolean()) {
+            return;
+        }
         Moment now = clock.now();
         for (BackendServer s : suspects) {
             if (s.domain().isEmpty()
@@ -342,18 +352,37 @@
                     || isMarkedLost(s)) {
                 continue;
             }
-            if (suspicionReports.report(s.lifetime(), by, now)) {
-                markLost(s);
-                continue;
+            suspicionReports.report(s.lifetime(), by, now);
+            if (markProbing(s)) {
+                engines.probe(s, SuspectGroupProber.PROBE_TIMEOUT).thenAccept(report -> suspectProbed(s, report));
             }
-            engines.probe(s, SuspectGroupProber.PROBE_TIMEOUT).thenAccept(report -> {
-                if (report.isEmpty()) {
-                    markLost(s);
-                }
-            });
         }
     }
 
+    private synchronized boolean markProbing(BackendServer server) {
+        return probing.add(server.lifetime());
+    }
+
+    private synchronized void suspectProbed(BackendServer server, Optional<EngineReport> report) {
+        probing.remove(server.lifetime());
+        if (report.isEmpty()
+                && !partitioned.getAsBoolean()
+                && suspicionReports.isSuspected(server.lifetime(), clock.now())) {
+            markLost(server);
+        }
+    }
+
+    /** Withdraws the reports of an entry that is partitioned from the backend servers. */
+    void withdrawReports(InstanceId by) {
+        suspicionReports.withdraw(by);
+    }
+
+    /** Discards what this entry believes about the responsiveness of engines, because it is partitioned from them. */
+    synchronized void discardSuspicions() {
+        suspicionReports.withdrawAll();
+        lostUntil.clear();
+    }
+
     private synchronized boolean isMarkedLost(BackendServer server) {
         return lostUntil.containsKey(server.lifetime());
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -279,6 +279,12 @@
         return result;
     }
 
+    /** Returns whether an entry said last that it is partitioned from the backend servers. */
+    synchronized boolean isPartitioned(InstanceId entry) {
+        Peer p = peers.get(entry);
+        return p != null && p.partitioned;
+    }
+
     /** Returns the number of candidates for a keeper, this entry included. */
     int candidateCount(Moment now) {
         return connectedPeers(now).size() + 1;
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -77,6 +77,8 @@
     private final Queue<SentOrder> orders = new ConcurrentLinkedQueue<>();
     private volatile CompletableFuture<OrderAnswer> orderAnswer =
             CompletableFuture.completedFuture(OrderAnswer.REFUSED);
+    private final Map<InstanceId, Integer> probes = new ConcurrentHashMap<>();
+    private volatile Optional<CompletableFuture<Optional<EngineReport>>> probeAnswer = Optional.empty();
     private volatile Set<Integer> partitions = Set.of();
     private volatile Optional<CompletableFuture<LeaseGrant>> renewals = Optional.empty();
     private volatile Optional<CompletableFuture<Void>> releases = Optional.empty();
@@ -205,11 +207,30 @@
         return entries.stream().anyMatch(r -> r.key().equals(entry));
     }
 
+    /** Returns the latest announcement of an entry in the store. */
+    EntryAnnouncement announcement(String entry) {
+        return entries.stream()
+                .filter(r -> r.key().equals(entry))
+                .reduce((first, second) -> second)
+                .flatMap(EntryAnnouncement::parse)
+                .orElseThrow();
+    }
+
     /** Makes a backend server respond to no probe from now on. */
     void makeUnresponsive(InstanceId server) {
         unresponsive.add(server);
     }
 
+    /** Makes all later probes of the state of engines complete with a future. */
+    void answerProbes(CompletableFuture<Optional<EngineReport>> answer) {
+        probeAnswer = Optional.of(answer);
+    }
+
+    /** Returns how many times the state of an engine was probed. */
+    int probesOf(InstanceId engine) {
+        return probes.getOrDefault(engine, 0);
+    }
+
     /** Grants the lease on these partitions of the fabric domains from now on. */
     void grantPartitions(Set<Integer> granted) {
         partitions = Set.copyOf(granted);
@@ -411,6 +432,10 @@
 
     @Override
     public CompletableFuture<Optional<EngineReport>> probe(BackendServer server, Duration timeout) {
+        probes.merge(server.id(), 1, Integer::sum);
+        if (probeAnswer.isPresent()) {
+            return probeAnswer.get();
+        }
         return CompletableFuture.completedFuture(
                 unresponsive.contains(server.id())
                         ? Optional.empty()
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.CallerLimits;
 import org.baobabspindle.core.fleet.EngineModel;
@@ -24,8 +25,10 @@
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
+import org.baobabspindle.port.EngineReport;
 import org.baobabspindle.port.OrderAnswer;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -51,6 +54,7 @@
     private KeeperLease lease;
     private GroupKeeper keeper;
     private Map<String, String> stagedElsewhere = Map.of();
+    private final AtomicBoolean partitioned = new AtomicBoolean();
 
     @BeforeEach
     void start() throws Exception {
@@ -79,7 +83,14 @@
 
     private GroupKeeper newKeeper() {
         return new GroupKeeper(
-                platform, platform.settings(), PlanPolicy.EVEN, lease, clock, new EventLog(), new GatewayMetrics());
+                platform,
+                platform.settings(),
+                PlanPolicy.EVEN,
+                lease,
+                partitioned::get,
+                clock,
+                new EventLog(),
+                new GatewayMetrics());
     }
 
     private static BackendServer member(String id, int rank, MemberState state) {
@@ -176,4 +187,107 @@
         }
         assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Stage.class);
     }
+
+    /** A group that serves, one of whose engines entries report as unresponsive. */
+    @Nested
+    class SuspectedEngineTests {
+        private final InstanceId entry = InstanceId.of("entry-1");
+        private final InstanceId otherEntry = InstanceId.of("entry-2");
+        private final CompletableFuture<Optional<EngineReport>> probe = new CompletableFuture<>();
+
+        @BeforeEach
+        void openGroup() {
+            engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
+        }
+
+        private void report(InstanceId by) {
+            keeper.reportSuspects(by, engines.subList(0, 1));
+        }
+
+        private boolean dissolves() {
+            tick(Duration.ZERO);
+            return platform.ordersTo(HEAD).contains(EngineOrder.Leave.class);
+        }
+
+        @Test
+        void dissolvesGroupIfEngineDoesNotRespondToKeeperEither() {
+            platform.makeUnresponsive(HEAD);
+            report(entry);
+            assertThat(dissolves()).isTrue();
+        }
+
+        /** Entries that have lost their own links report every engine. */
+        @Test
+        void reportsOfSeveralEntriesDoNotDissolveGroupThatKeeperReaches() {
+            report(entry);
+            report(otherEntry);
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void reportsOfOneFailureCauseOneProbe() {
+            platform.answerProbes(probe);
+            report(entry);
+            report(otherEntry);
+            assertThat(platform.probesOf(HEAD)).isEqualTo(1);
+        }
+
+        /** An entry may have reported an engine just before it noticed that it is partitioned. */
+        @Test
+        void withdrawnReportDoesNotDissolveGroup() {
+            platform.answerProbes(probe);
+            report(entry);
+            keeper.withdrawReports(entry);
+            probe.complete(Optional.empty());
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void withdrawalDoesNotAffectReportOfAnotherEntry() {
+            platform.answerProbes(probe);
+            report(entry);
+            report(otherEntry);
+            keeper.withdrawReports(entry);
+            probe.complete(Optional.empty());
+            assertThat(dissolves()).isTrue();
+        }
+
+        @Test
+        void partitionedKeeperIgnoresReports() {
+            platform.makeUnresponsive(HEAD);
+            partitioned.set(true);
+            report(entry);
+            report(otherEntry);
+            partitioned.set(false);
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void probeThatFailsWhenKeeperIsPartitionedDoesNotDissolveGroup() {
+            platform.answerProbes(probe);
+            report(entry);
+            partitioned.set(true);
+            probe.complete(Optional.empty());
+            partitioned.set(false);
+            assertThat(dissolves()).isFalse();
+        }
+
+        /** The probe was sent before the partition and times out after it. */
+        @Test
+        void probeDuringWhichKeeperWasPartitionedDoesNotDissolveGroup() {
+            platform.answerProbes(probe);
+            report(entry);
+            keeper.discardSuspicions();
+            probe.complete(Optional.empty());
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void engineIsNotLostAnyMoreAfterPartitionOfKeeper() {
+            platform.makeUnresponsive(HEAD);
+            report(entry);
+            keeper.discardSuspicions();
+            assertThat(dissolves()).isFalse();
+        }
+    }
 }
