An order that a partitioned keeper cannot deliver says nothing about its engine

Callers saw: groups dissolved by keepers that could not reach any engine. An order for which no connection could be established marked the engine lost, and an undelivered order to leave a group released the members of a head that is not listed, although it may still serve. Both conclusions hold only while the own link works: they are no longer drawn while the entry is partitioned from the backend servers. An unlisted head is ordered to leave again afterwards.

--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -315,6 +315,8 @@
         boolean unresponsive = answer == OrderAnswer.UNKNOWN || answer == OrderAnswer.UNREACHABLE;
         boolean listed = servers.stream()
                 .anyMatch(s -> s.lifetime().equals(action.server().lifetime()));
+        // While this entry is partitioned, no engine is reachable, whether or not it runs.
+        boolean unreachable = answer == OrderAnswer.UNREACHABLE && !partitioned.getAsBoolean();
         synchronized (this) {
             if (!(action instanceof FormationAction.Leave)) {
                 inFlight.remove(action.server().lifetime());
@@ -322,15 +324,14 @@
             if (answer == OrderAnswer.CONFLICT) {
                 formation.orderRefused(action, now);
             }
-            boolean unreachable = answer == OrderAnswer.UNREACHABLE && !listed;
-            if (action instanceof FormationAction.Leave && (!unresponsive || unreachable)) {
+            if (action instanceof FormationAction.Leave && (!unresponsive || (unreachable && !listed))) {
                 formation.headLeft(action.key(), now);
             }
             if (action instanceof FormationAction.Join
                     && (answer == OrderAnswer.STALE || answer == OrderAnswer.OTHER_INSTANCE)) {
                 formation.joinRefused(action.key());
             }
-            if (answer == OrderAnswer.UNREACHABLE) {
+            if (unreachable) {
                 lostUntil.put(action.server().lifetime(), now.plus(LOST_DURATION));
             }
         }
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -47,6 +47,9 @@
     /** After this time the keeper no longer waits for more engines at the first start of the whole system either. */
     private static final Duration FIRST_START_SETTLED = Duration.ofSeconds(10);
 
+    /** After this time the keeper orders a head that is not listed to leave its group. */
+    private static final Duration HEAD_CLOSE_TIMEOUT = Duration.ofSeconds(4);
+
     private final GatewayClock clock = new GatewayClock();
     private FakePlatform platform;
     private FleetConfiguration configuration;
@@ -290,4 +293,76 @@
             assertThat(dissolves()).isFalse();
         }
     }
+
+    /** Orders for which no connection to the engine could be established. */
+    @Nested
+    class UndeliverableOrderTests {
+        private final CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
+
+        private long leaveOrders() {
+            return platform.ordersTo(HEAD).stream()
+                    .filter(EngineOrder.Leave.class::equals)
+                    .count();
+        }
+
+        /** Answers the pending order while this entry is partitioned or while it is not. */
+        private void failOrder(boolean whilePartitioned) {
+            partitioned.set(whilePartitioned);
+            answer.complete(OrderAnswer.UNREACHABLE);
+            partitioned.set(false);
+        }
+
+        private void sendOpenOrder() {
+            platform.answerOrders(answer);
+            tick(Duration.ZERO);
+            tick(Duration.ZERO);
+            assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Open.class);
+        }
+
+        @Test
+        void unreachableEngineCountsAsLost() {
+            sendOpenOrder();
+            failOrder(false);
+            tick(Duration.ZERO);
+            assertThat(leaveOrders()).isEqualTo(1);
+        }
+
+        @Test
+        void engineDoesNotCountAsLostIfKeeperIsPartitioned() {
+            sendOpenOrder();
+            failOrder(true);
+            tick(Duration.ZERO);
+            assertThat(leaveOrders()).isEqualTo(0);
+        }
+
+        /** Orders the unlisted head of a group, which may still serve, to leave it. */
+        private void sendLeaveOrderToUnlistedHead() {
+            GroupKey key = new GroupKey("g7_e0_127.0.0.1_8080_1_small", 7);
+            engines = List.of(TestEngines.engine(
+                    "e1",
+                    Optional.of(SMALL.name()),
+                    Optional.empty(),
+                    Optional.of(new GroupMembership(key, 1, MemberState.READY))));
+            platform.answerOrders(answer);
+            tick(Duration.ZERO);
+            tick(HEAD_CLOSE_TIMEOUT);
+            assertThat(leaveOrders()).isEqualTo(1);
+        }
+
+        @Test
+        void unreachableUnlistedHeadHasLeftItsGroup() {
+            sendLeaveOrderToUnlistedHead();
+            failOrder(false);
+            tick(HEAD_CLOSE_TIMEOUT.plus(SETTLED));
+            assertThat(leaveOrders()).isEqualTo(1);
+        }
+
+        @Test
+        void unlistedHeadIsOrderedToLeaveAgainIfKeeperWasPartitioned() {
+            sendLeaveOrderToUnlistedHead();
+            failOrder(true);
+            tick(HEAD_CLOSE_TIMEOUT.plus(SETTLED));
+            assertThat(leaveOrders()).isEqualTo(2);
+        }
+    }
 }
