The expected wait counts only entries that send requests to backend servers

Callers saw: while some entries were partitioned from the backend servers, the others refused requests for lack of capacity although the slots that those did not use were free: the expected wait assumed that every known entry had a queue for the same slots. Responsive entries that say that they are partitioned are left out; one that has become unresponsive counts again, since its partition may have ended.

That callers were refused for this reason was not measured.

--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -81,7 +81,7 @@
         if (context.stopping().refusesNewRequests(streaming(), now)) {
             return Optional.of(Refusal.STOPPING);
         }
-        Duration wait = context.dispatcher().predictedWait(pool.get(), context.entryCount(), now);
+        Duration wait = context.dispatcher().predictedWait(pool.get(), context.dispatchingEntryCount(now), now);
         boolean tooLate = !now.plus(wait).isBefore(waitLimits().giveUpAt());
         return tooLate ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -157,7 +157,11 @@
         return true;
     }
 
-    /** Returns the expected wait of a new request of a pool; days if the pool has no target. */
+    /**
+     * Returns the expected wait of a new request of a pool; days if the pool has no target.
+     *
+     * @param entries the number of entries that send requests to the targets
+     */
     synchronized Duration predictedWait(TargetPool pool, int entries, Moment now) {
         List<Target> targets = fleet.catalog().targets(pool);
         RequestQueue<Ticket> queue = queues.get(pool);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
@@ -39,6 +40,7 @@
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
     private final IntSupplier entryCount;
+    private final ToIntFunction<Moment> dispatchingEntryCount;
     private final Duration keyLifetime;
     private final ServerNotices notices;
     private final CrashGuard quarantine;
@@ -58,6 +60,7 @@
             GatewayMetrics metrics,
             RandomGenerator random,
             IntSupplier entries,
+            ToIntFunction<Moment> dispatchingEntries,
             GatewaySettings.Bounds bounds) {
         this.clock = clock;
         this.fleet = fleet;
@@ -71,6 +74,7 @@
         this.metrics = metrics;
         this.random = random;
         this.entryCount = entries;
+        this.dispatchingEntryCount = dispatchingEntries;
         this.keyLifetime = bounds.maxRevocationDelay().minus(KEY_MARGIN);
     }
 
@@ -123,6 +127,11 @@
         return Math.max(1, entryCount.getAsInt());
     }
 
+    /** Returns the number of entries that send requests to backend servers, at least 1. */
+    int dispatchingEntryCount(Moment now) {
+        return dispatchingEntryCount.applyAsInt(now);
+    }
+
     /** Returns the maximum age of the configuration at which API keys are accepted. */
     Duration keyLifetime() {
         return keyLifetime;
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -175,6 +175,7 @@
                 metrics,
                 new SynchronizedRandom(random),
                 mesh::entryCount,
+                mesh::dispatchingEntryCount,
                 settings.bounds());
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -285,6 +285,15 @@
         return p != null && p.partitioned;
     }
 
+    /**
+     * Returns the number of entries that send requests to backend servers, at least 1: the known ones, whether they are
+     * responsive or not, except those that are partitioned from the backend servers.
+     */
+    synchronized int dispatchingEntryCount(Moment now) {
+        int partitionedPeers = alivePeers(now).size() - connectedPeers(now).size();
+        return Math.max(1, entryCount() - partitionedPeers - (partitioned.getAsBoolean() ? 1 : 0));
+    }
+
     /** Returns the number of candidates for a keeper, this entry included. */
     int candidateCount(Moment now) {
         return connectedPeers(now).size() + 1;
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -188,4 +188,29 @@
         assertThat(mesh.candidateCount(clock.now())).isEqualTo(1);
         assertThat(mesh.rankAmongCandidates(clock.now())).isEqualTo(0);
     }
+
+    @Test
+    void partitionedEntriesDoNotCountAsDispatching() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        startPeer("b", ZONE);
+        exchangeWithAll();
+        assertThat(mesh.dispatchingEntryCount(clock.now())).isEqualTo(2);
+        partitioned.set(true);
+        assertThat(mesh.dispatchingEntryCount(clock.now())).isEqualTo(1);
+    }
+
+    @Test
+    void atLeastOneEntryCountsAsDispatching() {
+        partitioned.set(true);
+        assertThat(mesh.dispatchingEntryCount(clock.now())).isEqualTo(1);
+    }
+
+    /** The partition of an entry that does not respond to this one may have ended. */
+    @Test
+    void unresponsiveEntryCountsAsDispatching() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        exchangeWithAll();
+        Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+        assertThat(mesh.dispatchingEntryCount(later)).isEqualTo(2);
+    }
 }
