The mesh chooses the entry to which a request is relayed

Relays need another entry that can reach the backend servers. It is responsive, ready and not partitioned itself, and has the fewest requests relayed by this entry; an entry of another availability zone is taken only if those of the own zone have more than a few requests more, so that a single entry left in a zone is not overloaded. Equal ones are chosen at random. Nothing calls this yet.

--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -11,10 +11,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
+import org.baobabspindle.core.dispatch.RelayPeerChooser;
 import org.baobabspindle.core.group.Rendezvous;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
@@ -285,6 +288,28 @@
         return p != null && p.partitioned;
     }
 
+    /**
+     * Returns an entry to which a request may be relayed: one that is responsive, ready and not partitioned from the
+     * backend servers.
+     *
+     * @param except the entries that have failed or refused the request
+     * @param outstanding the number of requests that this entry is relaying to an entry
+     */
+    Optional<EntryAnnouncement> relayPeer(Set<InstanceId> except, ToIntFunction<InstanceId> outstanding, Moment now) {
+        Map<InstanceId, EntryAnnouncement> entries = new HashMap<>();
+        List<RelayPeerChooser.Candidate> candidates = new ArrayList<>();
+        for (Peer p : connectedPeers(now)) {
+            InstanceId id = p.entry.entry().instance();
+            if (p.ready && !except.contains(id)) {
+                entries.put(id, p.entry);
+                candidates.add(new RelayPeerChooser.Candidate(
+                        id, p.entry.zone().equals(self.zone()), outstanding.applyAsInt(id)));
+            }
+        }
+        return RelayPeerChooser.choose(candidates, new SplittableRandom(now.monotonicNanos()))
+                .map(entries::get);
+    }
+
     /**
      * Returns the number of entries that send requests to backend servers, at least 1: the known ones, whether they are
      * responsive or not, except those that are partitioned from the backend servers.
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -5,16 +5,20 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.peer.PeerMessage;
@@ -23,6 +27,7 @@
 import org.baobabspindle.peer.PeerTraffic;
 import org.baobabspindle.port.FeedRecord;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -213,4 +218,63 @@
         Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
         assertThat(mesh.dispatchingEntryCount(later)).isEqualTo(2);
     }
+
+    /** The choice of an entry to which a request is relayed. */
+    @Nested
+    class RelayPeerTests {
+        private Optional<String> relayPeer(String... except) {
+            Set<InstanceId> excluded = Arrays.stream(except).map(InstanceId::of).collect(Collectors.toSet());
+            return mesh.relayPeer(excluded, id -> 0, clock.now())
+                    .map(e -> e.entry().instance().value());
+        }
+
+        @Test
+        void entryWithoutPeersHasNone() {
+            assertThat(relayPeer()).isEmpty();
+        }
+
+        @Test
+        void prefersOwnZone() throws Exception {
+            startPeer("a", OTHER_ZONE);
+            startPeer("b", ZONE);
+            exchangeWithAll();
+            assertThat(relayPeer()).hasValue("b");
+        }
+
+        @Test
+        void leavesOutPartitionedEntriesAndThoseThatAreNotReady() throws Exception {
+            startPeer("a", ZONE).partitioned = true;
+            startPeer("b", ZONE).ready = false;
+            startPeer("c", OTHER_ZONE);
+            exchangeWithAll();
+            assertThat(relayPeer()).hasValue("c");
+        }
+
+        @Test
+        void leavesOutEntriesThatHaveFailedTheRequest() throws Exception {
+            startPeer("a", ZONE);
+            startPeer("b", OTHER_ZONE);
+            exchangeWithAll();
+            assertThat(relayPeer("a")).hasValue("b");
+            assertThat(relayPeer("a", "b")).isEmpty();
+        }
+
+        @Test
+        void choosesEntryWithFewestRelayedRequests() throws Exception {
+            startPeer("a", ZONE);
+            startPeer("b", ZONE);
+            exchangeWithAll();
+            Optional<EntryAnnouncement> chosen =
+                    mesh.relayPeer(Set.of(), id -> id.value().equals("a") ? 3 : 1, clock.now());
+            assertThat(chosen.map(e -> e.entry().instance().value())).hasValue("b");
+        }
+
+        @Test
+        void leavesOutUnresponsiveEntries() throws Exception {
+            startPeer("a", ZONE);
+            exchangeWithAll();
+            Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+            assertThat(mesh.relayPeer(Set.of(), id -> 0, later)).isEmpty();
+        }
+    }
 }
