--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -91,7 +91,7 @@
         if (refusal.isPresent()) {
             return refusal;
         }
-        Duration wait = context.dispatcher().predictedWait(pool.orElseThrow(), context.entryCount(), now);
+        Duration wait = context.dispatcher().predictedWait(pool.orElseThrow(), context.dispatchingEntryCount(now), now);
         boolean tooLate = !now.plus(wait).isBefore(waitLimits().giveUpAt());
         return tooLate ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
@@ -44,7 +44,7 @@
 
     /** Returns an entry that can take a request, other than those that have failed or refused it. */
     Optional<EntryAnnouncement> nextEntry(Set<InstanceId> except, Moment now) {
-        return surroundings.peers().nextPeer(except, id -> outstanding.getOrDefault(id, 0), now);
+        return surroundings.peers().relayPeer(except, id -> outstanding.getOrDefault(id, 0), now);
     }
 
     /** A request is sent to an entry. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -32,6 +32,7 @@
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
+import org.baobabspindle.port.ForwardingHeaders;
 import org.baobabspindle.port.GatewaySettings;
 import org.baobabspindle.port.Platform;
 import org.baobabspindle.port.PlatformStore;
@@ -97,6 +98,7 @@
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> daemonThread(r, "timer"));
     private final ThreadPoolExecutor peerWorkers =
             (ThreadPoolExecutor) Executors.newFixedThreadPool(PEER_WORKERS, r -> daemonThread(r, "peer-worker"));
+    private final EntryRelay.Surroundings surroundings;
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
@@ -117,6 +119,9 @@
     private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
+    /** Whether this entry was partitioned from the backend servers at the last check. */
+    private boolean wasPartitioned;
+
     private GatewayNode(Platform platform, PlanPolicy policy, UnaryOperator<EntryRelay.Surroundings> adaptation)
             throws Exception {
         settings = platform.settings();
@@ -130,7 +135,8 @@
         fleet = new FleetTable(platform.decoder(), log);
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
-        mesh = new PeerMesh(self, peerWorkers, traffic, log);
+        mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, log);
+        surroundings = adaptation.apply(new EntryRelay.Surroundings(CONNECTED, mesh));
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
         Dispatcher dispatcher = new Dispatcher(
@@ -143,34 +149,48 @@
         ServerNotices notices = new ServerNotices(clock, log, noticeListener(dispatcher));
         EnginePort engines = platform.engines(client, notices::probeResponseReceived);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
-        context = new GatewayContext(
+        context = createContext(dispatcher, notices, platform.headers(), random.split());
+        Duration timeToLive =
+                Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
+        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
+        keeper = new GroupKeeper(engines, settings, policy, lease, this::isPartitioned, clock, log, metrics);
+        gossip = new GatewayGossip(
+                self,
+                context,
+                mesh,
+                keeper,
+                this::isReady,
+                this::fleetChanged,
+                notices,
+                recent,
+                this::isFollower,
+                this::isPartitioned);
+        suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
+        gossip.setSuspicionListener(suspectProber::receiveSuspects);
+        crashGuard.peers(gossip);
+        server = new GatewayServer(settings, threads);
+        server.start(new GatewayHandler(
+                context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
+    }
+
+    private GatewayContext createContext(
+            Dispatcher dispatcher, ServerNotices notices, ForwardingHeaders headers, SplittableRandom random) {
+        return new GatewayContext(
                 clock,
                 fleet,
                 dispatcher,
                 client,
                 notices,
                 crashGuard,
-                new EntryRelay(
-                        adaptation.apply(new EntryRelay.Surroundings(CONNECTED, mesh)), new PeerSecret(self.secret())),
-                platform.headers(),
+                new EntryRelay(surroundings, new PeerSecret(self.secret())),
+                headers,
                 shutdown,
                 log,
                 metrics,
-                new SynchronizedRandom(random.split()),
+                new SynchronizedRandom(random),
                 mesh::entryCount,
+                mesh::dispatchingEntryCount,
                 settings.bounds());
-        Duration timeToLive =
-                Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
-        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
-        gossip = new GatewayGossip(
-                self, context, mesh, keeper, this::isReady, this::fleetChanged, notices, recent, this::isFollower);
-        suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
-        gossip.setSuspicionListener(suspectProber::receiveSuspects);
-        crashGuard.peers(gossip);
-        server = new GatewayServer(settings, threads);
-        server.start(new GatewayHandler(
-                context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
     }
 
     private ServerNotices.Listener noticeListener(Dispatcher dispatcher) {
@@ -326,6 +346,7 @@
         scheduleEvery(TICK_INTERVAL, () -> context.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, this::checkPartition);
         scheduleEvery(KEEPER_INTERVAL, this::runKeeper);
         scheduleEvery(SLOW_TARGET_CHECK_INTERVAL, this::logSlowTargets);
         scheduleEvery(LEASE_RENEWAL_INTERVAL, this::renewLease);
@@ -419,7 +440,10 @@
         Moment now = clock.now();
         fleet.applyDueServerChanges(now);
         Optional<FleetConfiguration> configuration = fleet.configuration();
-        if (configuration.isEmpty() || shutdown.inProgress() || lease.term(now).isEmpty()) {
+        if (configuration.isEmpty()
+                || shutdown.inProgress()
+                || isPartitioned()
+                || lease.term(now).isEmpty()) {
             return;
         }
         keeper.tick(
@@ -428,7 +452,7 @@
                         fleet.servers(),
                         mesh.totalDemand(context.dispatcher().demand(now), now),
                         mesh.stagingOfPeers(now),
-                        KeeperRanks.share(mesh.rankAmongAlive(now), mesh.aliveEntryCount(now))),
+                        KeeperRanks.share(mesh.rankAmongCandidates(now), mesh.candidateCount(now))),
                 now);
     }
 
@@ -450,16 +474,34 @@
         }
     }
 
-    private void renewLease() {
+    private synchronized void renewLease() {
         if (!fleet.isComplete() || shutdown.inProgress()) {
             return;
         }
         Moment now = clock.now();
         candidacy
-                .decide(mesh.rankAmongAlive(now), lease.holdsAnyPartition(), now)
+                .decide(mesh.rankAmongCandidates(now), lease.holdsAnyPartition(), isPartitioned(), now)
                 .apply(lease);
     }
 
+    /**
+     * Releases or requests the lease and informs the other entries at once when a partition from the backend servers
+     * begins or ends.
+     */
+    private void checkPartition() {
+        boolean partitionedNow = isPartitioned();
+        if (partitionedNow != wasPartitioned) {
+            wasPartitioned = partitionedNow;
+            keeper.discardSuspicions();
+            renewLease();
+            gossip.exchangeStateWithAll();
+        }
+    }
+
+    private boolean isPartitioned() {
+        return surroundings.link().isPartitioned();
+    }
+
     private boolean isReady() {
         return fleet.isComplete() && announced && !shutdown.inProgress();
     }
