--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -21,6 +22,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Liveness;
@@ -94,7 +96,16 @@
 
     /** Creates the platform of another entry, which shares the store with the first one. */
     FakePlatform(String instance, FakePlatform first) throws IOException {
-        this(instance, first.configuration, first.servers, first.entries, first.era);
+        this(instance, first, UnaryOperator.identity());
+    }
+
+    /**
+     * Creates the platform of another entry, which shares the store with the first one.
+     *
+     * @param listing returns how a backend server is listed to the entry
+     */
+    FakePlatform(String instance, FakePlatform first, UnaryOperator<BackendServer> listing) throws IOException {
+        this(instance, first.configuration, first.servers.stream().map(listing).toList(), first.entries, first.era);
     }
 
     private FakePlatform(
@@ -193,6 +204,11 @@
         unresponsive.add(server);
     }
 
+    /** Makes a backend server respond to probes again. */
+    void makeResponsive(InstanceId server) {
+        unresponsive.remove(server);
+    }
+
     /** Grants the lease on these partitions of the fabric domains from now on. */
     void grantPartitions(Set<Integer> granted) {
         partitions = Set.copyOf(granted);
@@ -379,12 +395,17 @@
         if (unresponsive.contains(server.id())) {
             return CompletableFuture.completedFuture(Liveness.SILENT);
         }
-        try (Socket s = new Socket(server.host(), server.port())) {
-            return CompletableFuture.completedFuture(s.isConnected() ? Liveness.RUNNING : Liveness.SILENT);
+        return CompletableFuture.supplyAsync(() -> connect(server, timeout));
+    }
+
+    private static Liveness connect(BackendServer server, Duration timeout) {
+        try (Socket s = new Socket()) {
+            s.connect(new InetSocketAddress(server.host(), server.port()), (int) timeout.toMillis());
+            return Liveness.RUNNING;
         } catch (ConnectException e) {
-            return CompletableFuture.completedFuture(Liveness.ENDED);
+            return Liveness.ENDED;
         } catch (IOException e) {
-            return CompletableFuture.completedFuture(Liveness.SILENT);
+            return Liveness.SILENT;
         }
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -51,13 +51,17 @@
     }
 
     void start(RawBackend.Script... scripts) throws Exception {
+        start(configuration(), scripts);
+    }
+
+    void start(FleetConfiguration configuration, RawBackend.Script... scripts) throws Exception {
         List<BackendServer> servers = new ArrayList<>();
         for (RawBackend.Script s : scripts) {
             RawBackend b = new RawBackend(s);
             backends.add(b);
             servers.add(server("b" + backends.size(), b.port()));
         }
-        platform = new FakePlatform(configuration(), servers);
+        platform = new FakePlatform(configuration, servers);
         node = GatewayNode.open(platform);
         await(() -> status(platform.readinessUrl()) == 200);
     }
@@ -79,6 +83,10 @@
     }
 
     static FleetConfiguration configuration() {
+        return configuration(ROUTE_TIMEOUT);
+    }
+
+    static FleetConfiguration configuration(Duration routeTimeout) {
         List<Route> routes = new ArrayList<>();
         for (RouteKind kind : RouteKind.values()) {
             String prefix = "/" + kind.name().toLowerCase(Locale.ROOT) + "/";
@@ -89,7 +97,7 @@
                     kind,
                     kind.streaming(),
                     false,
-                    ROUTE_TIMEOUT,
+                    routeTimeout,
                     Duration.ofMillis(400),
                     Duration.ZERO,
                     1,
