--- /dev/null
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
@@ -0,0 +1,342 @@
+package org.baobabspindle.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+
+/**
+ * Detects that an entry is partitioned from all backend servers, as opposed to failures of single servers.
+ *
+ * <p>Two kinds of evidence are tracked independently. The entry is <em>isolated</em> if it receives nothing from any
+ * server although several of them were sending, or although several of them have failed; any received byte ends this. It
+ * is <em>disconnected</em> if new connections fail at several servers, whether or not existing ones go on; any new
+ * connection ends this.
+ *
+ * <p>Silence is measured in observed time: each tick counts for at most {@link #MAX_OBSERVED_PER_TICK}, so that a pause
+ * of the process is not mistaken for silence of the servers.
+ */
+public final class BackendReachability {
+    /** The observed time that one tick accounts for at most; the interval of the ticks. */
+    static final Duration MAX_OBSERVED_PER_TICK = Duration.ofMillis(50);
+
+    /** The observed time without reception, or without a new connection, after which evidence is conclusive. */
+    static final Duration CONFIRMATION_TIME = MAX_OBSERVED_PER_TICK.multipliedBy(2);
+
+    /** The observed time without reception after which requests in progress alone are a reason to probe. */
+    static final Duration IDLE_TIME = MAX_OBSERVED_PER_TICK.multipliedBy(5);
+
+    /** How long a failure counts unless something is received before. */
+    static final Duration FAILURE_LIFETIME = Duration.ofSeconds(1);
+
+    /** The servers that must be silent or fail at the same time. */
+    private static final int MIN_SERVERS = 3;
+
+    /** The servers that must fail if the entry knows no more. */
+    private static final int MIN_KNOWN_SERVERS = 2;
+
+    /** The servers that are probed at a time. */
+    private static final int PROBES = 3;
+
+    private static final Duration SUSPICION_PROBE_INTERVAL = Duration.ofMillis(100);
+    private static final Duration PARTITION_PROBE_INTERVAL = Duration.ofMillis(250);
+    private static final Duration IDLE_PROBE_INTERVAL = Duration.ofSeconds(1);
+
+    private final Map<InstanceId, Activity> activities = new HashMap<>();
+    private final Map<InstanceId, Failure> failures = new HashMap<>();
+    private final Map<InstanceId, Moment> connectFailures = new HashMap<>();
+    private List<InstanceId> listed = List.of();
+    private Optional<Moment> lastTick = Optional.empty();
+    private Optional<Moment> lastProbe = Optional.empty();
+    private long tickCount;
+    private int nextProbe;
+    private boolean receivedSinceTick;
+    private Duration silence = Duration.ZERO;
+    private Duration withoutConnection = Duration.ZERO;
+    private boolean isolated;
+    private boolean disconnected;
+
+    /** Creates a detector that knows no servers. */
+    public BackendReachability() {}
+
+    private record Failure(Moment at, long tick) {}
+
+    private static final class Activity {
+        /** The ticks of which the history tells. */
+        private static final int HISTORY_TICKS = 4;
+
+        /** The ticks of the history in which a server must have been heard from to count as sending. */
+        private static final int MIN_SENDING_TICKS = 3;
+
+        private int outstanding;
+        private boolean receivedSinceTick;
+        private Optional<Moment> lastReceived = Optional.empty();
+
+        /** One bit for each tick in which any server was heard from, the latest one lowest; set if this one was. */
+        private int history;
+
+        void endTick() {
+            history = (history << 1 | (receivedSinceTick ? 1 : 0)) & ((1 << HISTORY_TICKS) - 1);
+            receivedSinceTick = false;
+        }
+
+        boolean sending() {
+            return outstanding > 0 && Integer.bitCount(history) >= MIN_SENDING_TICKS;
+        }
+    }
+
+    private Activity activity(InstanceId server) {
+        return activities.computeIfAbsent(server, s -> new Activity());
+    }
+
+    /**
+     * Sets the backend servers that are listed.
+     *
+     * @param servers the servers, which are probed in this order
+     */
+    public void setServers(List<InstanceId> servers) {
+        listed = List.copyOf(servers);
+        Set<InstanceId> retained = new HashSet<>(listed);
+        activities.entrySet().removeIf(e -> !retained.contains(e.getKey()) && e.getValue().outstanding <= 0);
+    }
+
+    /**
+     * Records that a request was sent to a server.
+     *
+     * @param server the server
+     */
+    public void requestSent(InstanceId server) {
+        activity(server).outstanding++;
+    }
+
+    /**
+     * Records that bytes were received from a server.
+     *
+     * @param server the server
+     * @param now the present time
+     */
+    public void received(InstanceId server, Moment now) {
+        Activity a = activity(server);
+        a.receivedSinceTick = true;
+        a.lastReceived = Optional.of(now);
+        receivedSinceTick = true;
+        silence = Duration.ZERO;
+        isolated = false;
+    }
+
+    /**
+     * Records that a request to a server has ended, for whatever reason.
+     *
+     * @param server the server
+     */
+    public void ended(InstanceId server) {
+        Activity a = activity(server);
+        a.outstanding--;
+        if (a.outstanding <= 0) {
+            a.history = 0;
+        }
+    }
+
+    /**
+     * Records that a connection to a server was reset, or that a probe was not answered. Failures of servers that are not
+     * listed do not count, since those have terminated.
+     *
+     * @param server the server
+     * @param now the present time
+     */
+    public void failed(InstanceId server, Moment now) {
+        if (listed.contains(server)) {
+            failures.put(server, new Failure(now, tickCount));
+        }
+    }
+
+    /**
+     * Records that a new connection to a server could not be established.
+     *
+     * @param server the server
+     * @param now the present time
+     */
+    public void connectFailed(InstanceId server, Moment now) {
+        failed(server, now);
+        if (listed.contains(server)) {
+            connectFailures.put(server, now);
+        }
+    }
+
+    /** Records that a new connection to any server was established. */
+    public void connected() {
+        connectFailures.clear();
+        withoutConnection = Duration.ZERO;
+        disconnected = false;
+    }
+
+    /**
+     * Evaluates the evidence; called periodically.
+     *
+     * @param now the present time
+     */
+    public void tick(Moment now) {
+        Duration observed = lastTick.map(now::since).orElse(Duration.ZERO);
+        if (observed.compareTo(MAX_OBSERVED_PER_TICK) > 0) {
+            observed = MAX_OBSERVED_PER_TICK;
+        }
+        lastTick = Optional.of(now);
+        failures.values().removeIf(f -> isExpired(f.at(), now));
+        connectFailures.values().removeIf(at -> isExpired(at, now));
+        if (receivedSinceTick) {
+            // The order of a failure and a reception within one tick is not significant: both may have waited for a
+            // thread.
+            failures.values().removeIf(f -> f.tick() < tickCount);
+            activities.values().forEach(Activity::endTick);
+            receivedSinceTick = false;
+        } else {
+            silence = anyOutstanding() || !failures.isEmpty() ? silence.plus(observed) : Duration.ZERO;
+        }
+        withoutConnection = connectFailures.isEmpty() ? Duration.ZERO : withoutConnection.plus(observed);
+        tickCount++;
+        isolated |= isConclusive(silence) && (enoughSenders() || failures.size() >= requiredFailures());
+        disconnected =
+                isConclusive(withoutConnection) && (disconnected || connectFailures.size() >= requiredFailures());
+    }
+
+    private static boolean isExpired(Moment failedAt, Moment now) {
+        return now.since(failedAt).compareTo(FAILURE_LIFETIME) >= 0;
+    }
+
+    private static boolean isConclusive(Duration observed) {
+        return observed.compareTo(CONFIRMATION_TIME) >= 0;
+    }
+
+    private boolean anyOutstanding() {
+        return activities.values().stream().anyMatch(a -> a.outstanding > 0);
+    }
+
+    private boolean enoughSenders() {
+        return activities.values().stream().filter(Activity::sending).count() >= MIN_SERVERS;
+    }
+
+    private int requiredFailures() {
+        return Math.min(MIN_SERVERS, Math.max(MIN_KNOWN_SERVERS, listed.size()));
+    }
+
+    /**
+     * Returns whether the entry reaches the backend servers.
+     *
+     * @return the state
+     */
+    public Reachability state() {
+        return isolated || disconnected ? Reachability.PARTITIONED : Reachability.REACHABLE;
+    }
+
+    /**
+     * Returns whether a server other than some was heard from. Silence of a server is evidence about that server only if
+     * another one was heard from meanwhile.
+     *
+     * @param since the time at which the silence began
+     * @param except the servers that do not count
+     * @return whether another server was heard from at that time or later
+     */
+    public boolean heardFromOthersSince(Moment since, Set<InstanceId> except) {
+        return activities.entrySet().stream()
+                .anyMatch(e -> !except.contains(e.getKey())
+                        && e.getValue()
+                                .lastReceived
+                                .filter(at -> !at.isBefore(since))
+                                .isPresent());
+    }
+
+    /**
+     * Returns whether a server was heard from.
+     *
+     * @param server the server
+     * @param since the start of the time that counts
+     * @return whether it was heard from at that time or later
+     */
+    public boolean heardFromSince(InstanceId server, Moment since) {
+        Activity a = activities.get(server);
+        return a != null && a.lastReceived.filter(at -> !at.isBefore(since)).isPresent();
+    }
+
+    /**
+     * Returns whether servers other than one have recently failed too, without any sign of reachability since. A request
+     * that could not be sent to that server is likely to fail at other ones then.
+     *
+     * @param server the server that does not count
+     * @return whether another one has failed
+     */
+    public boolean othersFail(InstanceId server) {
+        boolean silent = !receivedSinceTick && failures.keySet().stream().anyMatch(s -> !s.equals(server));
+        return silent || connectFailures.keySet().stream().anyMatch(s -> !s.equals(server));
+    }
+
+    /**
+     * Returns the servers to probe now, with new connections: a few in turn while the entry is partitioned, or when there
+     * is evidence that it might be. Servers that have not failed come first.
+     *
+     * @param now the present time
+     * @return the servers; empty if no probe is due
+     */
+    public List<InstanceId> serversToProbe(Moment now) {
+        Optional<Duration> interval = probeInterval();
+        boolean due = interval.isPresent()
+                && lastProbe
+                        .filter(at -> now.since(at).compareTo(interval.get()) < 0)
+                        .isEmpty();
+        if (!due) {
+            return List.of();
+        }
+        lastProbe = Optional.of(now);
+        List<InstanceId> chosen = new ArrayList<>();
+        List<InstanceId> failing = new ArrayList<>();
+        for (int i = 0; i < listed.size() && chosen.size() < PROBES; i++) {
+            InstanceId s = listed.get(Math.floorMod(nextProbe + i, listed.size()));
+            (hasFailed(s) ? failing : chosen).add(s);
+        }
+        nextProbe += PROBES;
+        failing.stream().limit(PROBES - chosen.size()).forEach(chosen::add);
+        return chosen;
+    }
+
+    private boolean hasFailed(InstanceId server) {
+        return failures.containsKey(server) || connectFailures.containsKey(server);
+    }
+
+    private Optional<Duration> probeInterval() {
+        if (state() == Reachability.PARTITIONED) {
+            return Optional.of(PARTITION_PROBE_INTERVAL);
+        }
+        boolean silent = !silence.isZero() && (enoughSenders() || !failures.isEmpty());
+        if (silent || !connectFailures.isEmpty()) {
+            return Optional.of(SUSPICION_PROBE_INTERVAL);
+        }
+        boolean idle = silence.compareTo(IDLE_TIME) >= 0 && anyOutstanding();
+        return idle ? Optional.of(IDLE_PROBE_INTERVAL) : Optional.empty();
+    }
+
+    /**
+     * Returns the evidence in numbers, for logs.
+     *
+     * @return the evidence
+     */
+    public Evidence evidence() {
+        Set<InstanceId> failing = new HashSet<>(failures.keySet());
+        failing.addAll(connectFailures.keySet());
+        return new Evidence(failing.size(), silence, isolated, disconnected);
+    }
+
+    /**
+     * The evidence for the state.
+     *
+     * @param failedServers the number of servers that have recently failed
+     * @param silence the observed time for which nothing was received from any server
+     * @param isolated whether nothing is received from any server
+     * @param disconnected whether new connections fail
+     */
+    public record Evidence(int failedServers, Duration silence, boolean isolated, boolean disconnected) {}
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
@@ -0,0 +1,442 @@
+package org.baobabspindle.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BackendReachabilityTests {
+    private static final Duration TICK = BackendReachability.MAX_OBSERVED_PER_TICK;
+    private static final InstanceId A = InstanceId.of("a");
+    private static final InstanceId B = InstanceId.of("b");
+    private static final InstanceId C = InstanceId.of("c");
+    private static final InstanceId D = InstanceId.of("d");
+
+    private final BackendReachability reachability = new BackendReachability();
+    private Moment now = new Moment(1_000_000_000L, 1_000);
+
+    @BeforeEach
+    void list() {
+        reachability.setServers(List.of(A, B, C, D));
+        reachability.tick(now);
+    }
+
+    private void pass(Duration time) {
+        now = now.plus(time);
+    }
+
+    private void tick() {
+        pass(TICK);
+        reachability.tick(now);
+    }
+
+    private void ticks(int count) {
+        for (int i = 0; i < count; i++) {
+            tick();
+        }
+    }
+
+    private void assertReachable() {
+        assertThat(reachability.state()).isEqualTo(Reachability.REACHABLE);
+    }
+
+    private void assertPartitioned() {
+        assertThat(reachability.state()).isEqualTo(Reachability.PARTITIONED);
+    }
+
+    /** Starts a request to each server and receives events from them for several ticks. */
+    private void stream(InstanceId... servers) {
+        for (InstanceId s : servers) {
+            reachability.requestSent(s);
+        }
+        for (int i = 0; i < 4; i++) {
+            receive(servers);
+            tick();
+        }
+    }
+
+    private void receive(InstanceId... servers) {
+        for (InstanceId s : servers) {
+            reachability.received(s, now);
+        }
+    }
+
+    private void fail(InstanceId... servers) {
+        for (InstanceId s : servers) {
+            reachability.failed(s, now);
+        }
+    }
+
+    private void failToConnect(InstanceId... servers) {
+        for (InstanceId s : servers) {
+            reachability.connectFailed(s, now);
+        }
+    }
+
+    @Nested
+    class Silence {
+        @Test
+        void ofAllSendingServersIsAPartition() {
+            stream(A, B, C);
+            tick();
+            assertReachable();
+            tick();
+            assertPartitioned();
+        }
+
+        @Test
+        void ofOneServerIsNone() {
+            stream(A, B, C, D);
+            for (int i = 0; i < 40; i++) {
+                receive(B);
+                tick();
+                assertReachable();
+            }
+        }
+
+        @Test
+        void ofTwoServersIsNone() {
+            stream(A, B);
+            ticks(40);
+            assertReachable();
+        }
+
+        @Test
+        void ofServersThatWereNotSendingIsNone() {
+            for (InstanceId s : List.of(A, B, C, D)) {
+                reachability.requestSent(s);
+            }
+            ticks(40);
+            assertReachable();
+        }
+
+        @Test
+        void afterTheEndOfAllStreamsIsNone() {
+            stream(A, B, C);
+            List.of(A, B, C).forEach(reachability::ended);
+            ticks(10);
+            assertReachable();
+        }
+
+        /** The streams of before do not make a server with a new request a sending one. */
+        @Test
+        void beforeTheFirstResponseAfterAnIdlePeriodIsNone() {
+            stream(A, B, C);
+            List.of(A, B, C).forEach(reachability::ended);
+            ticks(10);
+            List.of(A, B, C).forEach(reachability::requestSent);
+            ticks(3);
+            assertReachable();
+        }
+
+        @Test
+        void isEndedByAnyByte() {
+            stream(A, B, C);
+            ticks(2);
+            receive(D);
+            assertReachable();
+            tick();
+            assertReachable();
+        }
+
+        @Test
+        void lastsAlthoughTheStreamsAreMovedElsewhere() {
+            stream(A, B, C);
+            ticks(2);
+            List.of(A, B, C).forEach(reachability::ended);
+            ticks(40);
+            assertPartitioned();
+        }
+
+        @Test
+        void duringAPauseOfTheProcessIsNotObserved() {
+            stream(A, B, C);
+            pass(Duration.ofSeconds(5));
+            reachability.tick(now);
+            assertReachable();
+            receive(A);
+            tick();
+            assertReachable();
+        }
+
+        @Test
+        void isMeasuredByTheTimeOfFrequentTicks() {
+            stream(A, B, C);
+            for (int i = 0; i < 9; i++) {
+                pass(TICK.dividedBy(5));
+                reachability.tick(now);
+            }
+            assertReachable();
+            pass(TICK.dividedBy(5));
+            reachability.tick(now);
+            assertPartitioned();
+        }
+
+        @Test
+        void isDetectedAgainAfterAHeal() {
+            stream(A, B, C);
+            ticks(2);
+            for (int i = 0; i < 4; i++) {
+                receive(A, B, C);
+                tick();
+                assertReachable();
+            }
+            ticks(2);
+            assertPartitioned();
+        }
+    }
+
+    @Nested
+    class Failures {
+        @Test
+        void ofSeveralServersAreAPartition() {
+            fail(A, B, C);
+            tick();
+            assertReachable();
+            tick();
+            assertPartitioned();
+        }
+
+        @Test
+        void ofOneServerAreNone() {
+            for (int i = 0; i < 10; i++) {
+                fail(A);
+                tick();
+            }
+            assertReachable();
+        }
+
+        /** A fabric domain goes dark: its servers fail at once, while those of other domains respond. */
+        @Test
+        void ofServersOfOneDomainAreNone() {
+            stream(A, B, C, D);
+            fail(A, B, C);
+            for (int i = 0; i < 20; i++) {
+                tick();
+                receive(D);
+                assertReachable();
+            }
+        }
+
+        @Test
+        void areForgottenWhenAnyServerIsHeardFrom() {
+            fail(A, B);
+            tick();
+            receive(D);
+            tick();
+            fail(C);
+            ticks(4);
+            assertReachable();
+        }
+
+        /** The threads that report the last bytes and the resets may report them in any order. */
+        @Test
+        void countIfTheLastBytesAreReportedShortlyAfter() {
+            stream(A, B, C);
+            fail(A, B, C);
+            receive(A);
+            ticks(3);
+            assertPartitioned();
+        }
+
+        @Test
+        void atLongIntervalsAreNone() {
+            for (InstanceId s : List.of(A, B, C, D)) {
+                fail(s);
+                ticks(15);
+            }
+            assertReachable();
+        }
+
+        @Test
+        void ofServersThatAreNotListedAreNone() {
+            reachability.setServers(List.of(A, D));
+            fail(A, B, C);
+            ticks(3);
+            assertReachable();
+        }
+
+        @Test
+        void ofTwoServersAreAPartitionIfThereAreNoOthers() {
+            reachability.setServers(List.of(A, B));
+            fail(A);
+            ticks(3);
+            assertReachable();
+            fail(B);
+            ticks(2);
+            assertPartitioned();
+        }
+
+        @Test
+        void ofTheOnlyServerAreNone() {
+            reachability.setServers(List.of(A));
+            failToConnect(A);
+            ticks(4);
+            assertReachable();
+        }
+    }
+
+    @Nested
+    class ConnectFailures {
+        private void streamAndTick(int count) {
+            for (int i = 0; i < count; i++) {
+                receive(A, B, C);
+                tick();
+            }
+        }
+
+        @Test
+        void ofSeveralServersAreAPartitionAlthoughStreamsGoOn() {
+            stream(A, B, C);
+            failToConnect(A, B, C);
+            streamAndTick(2);
+            assertPartitioned();
+        }
+
+        @Test
+        void areNoneAfterASuccessfulConnection() {
+            stream(A, B, C);
+            failToConnect(A, B);
+            streamAndTick(1);
+            reachability.connected();
+            failToConnect(C);
+            streamAndTick(4);
+            assertReachable();
+        }
+
+        @Test
+        void endWithANewConnection() {
+            stream(A, B, C);
+            failToConnect(A, B, C);
+            streamAndTick(2);
+            reachability.connected();
+            assertReachable();
+        }
+
+        @Test
+        void doNotEndWithBytesOnExistingConnections() {
+            stream(A, B, C);
+            failToConnect(A, B, C);
+            streamAndTick(10);
+            assertPartitioned();
+        }
+
+        @Test
+        void endIfNoneFailsAnyMore() {
+            stream(A, B, C);
+            failToConnect(A, B, C);
+            streamAndTick(25);
+            assertReachable();
+        }
+    }
+
+    @Nested
+    class Others {
+        @Test
+        void silenceOfOneServerIsItsOwnIfAnotherIsHeardFrom() {
+            receive(A);
+            tick();
+            Moment since = now;
+            assertThat(reachability.heardFromOthersSince(since, Set.of(B))).isFalse();
+            tick();
+            receive(B);
+            assertThat(reachability.heardFromOthersSince(since, Set.of(B))).isFalse();
+            assertThat(reachability.heardFromOthersSince(since, Set.of(A))).isTrue();
+            assertThat(reachability.heardFromSince(B, since)).isTrue();
+            assertThat(reachability.heardFromSince(A, since)).isFalse();
+        }
+
+        @Test
+        void failTooIfTheyFailedWithoutASignOfReachability() {
+            fail(A);
+            assertThat(reachability.othersFail(A)).isFalse();
+            assertThat(reachability.othersFail(B)).isTrue();
+            tick();
+            receive(C);
+            assertThat(reachability.othersFail(B)).isFalse();
+            tick();
+            assertThat(reachability.othersFail(B)).isFalse();
+        }
+
+        @Test
+        void failToConnectTooUntilAConnectionSucceeds() {
+            failToConnect(A);
+            receive(C);
+            assertThat(reachability.othersFail(B)).isTrue();
+            reachability.connected();
+            assertThat(reachability.othersFail(B)).isFalse();
+        }
+    }
+
+    @Nested
+    class Probes {
+        private List<InstanceId> probe() {
+            return reachability.serversToProbe(now);
+        }
+
+        @Test
+        void areNotDueWithoutEvidence() {
+            stream(A, B, C);
+            receive(A);
+            tick();
+            assertThat(probe()).isEmpty();
+        }
+
+        @Test
+        void areDueAsSoonAsSendingServersAreSilent() {
+            stream(A, B, C);
+            tick();
+            assertThat(probe()).hasSize(3);
+            assertThat(probe()).isEmpty();
+        }
+
+        @Test
+        void preferServersThatHaveNotFailed() {
+            failToConnect(A);
+            assertThat(probe()).containsExactly(B, C, D);
+        }
+
+        @Test
+        void areDueIfARequestGetsNoResponseForLong() {
+            reachability.requestSent(A);
+            ticks(4);
+            assertThat(probe()).isEmpty();
+            tick();
+            assertThat(probe()).hasSize(3);
+        }
+
+        /** The entry notices within half a second that the partition has ended. */
+        @Test
+        void goOnInTurnDuringAPartition() {
+            fail(A, B, C, D);
+            ticks(2);
+            assertPartitioned();
+            List<InstanceId> probed = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                probed.addAll(probe());
+                tick();
+            }
+            assertThat(probed.size()).isAtLeast(6);
+            assertThat(probed).containsAtLeast(A, B, C, D);
+        }
+    }
+
+    @Test
+    void evidenceTellsTheNumberOfFailedServersAndTheSilence() {
+        fail(A, B);
+        failToConnect(B, C);
+        ticks(2);
+        BackendReachability.Evidence evidence = reachability.evidence();
+        assertThat(evidence.failedServers()).isEqualTo(3);
+        assertThat(evidence.silence()).isEqualTo(TICK.multipliedBy(2));
+        assertThat(evidence.isolated()).isTrue();
+        assertThat(evidence.disconnected()).isFalse();
+    }
+}
