--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -20,6 +20,8 @@
  * backend server at a time; events of earlier calls are ignored.
  */
 final class CallerExchange implements BackendCall.Listener {
+    private static final System.Logger LOGGER = System.getLogger(CallerExchange.class.getName());
+
     /**
      * An answer that has gone on for longer shows that no part of its prompt crashes the server; the first event may still
      * arrive from a server that crashes with it.
@@ -51,6 +53,9 @@
     /** The refusal and reason of a retry that waits until it is known whether the last server has crashed. */
     private Optional<PendingRetry> pendingRetry = Optional.empty();
 
+    /** Whether the retry after the current call has been acquired already. */
+    private boolean retryGranted;
+
     private boolean finished;
     private boolean mayHaveRun;
     private int attempts;
@@ -76,6 +81,10 @@
      * @param content the whole body of the request
      */
     void begin(byte[] content, Moment now) {
+        runOrFail(() -> admit(content, now), now);
+    }
+
+    private void admit(byte[] content, Moment now) {
         synchronized (this) {
             body = content;
             Optional<Refusal> refusal = admission.check(content, now);
@@ -88,6 +97,20 @@
         requestTarget(now);
     }
 
+    /** Runs a step of the exchange. An exception ends the request, since no later event might end it. */
+    private void runOrFail(Runnable step, Moment now) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            fail(e, now);
+        }
+    }
+
+    private synchronized void fail(RuntimeException e, Moment now) {
+        LOGGER.log(System.Logger.Level.ERROR, "processing a request failed", e);
+        refuse(mayHaveRun || call.isPresent() ? Refusal.BROKEN : Refusal.INTERNAL_ERROR, e.toString(), now);
+    }
+
     /** Queues the request for a target. */
     private void requestTarget(Moment now) {
         Dispatcher.Ticket t;
@@ -111,6 +134,29 @@
     /** Sends the request to a target, after repeating the checks whose outcome may have changed while it waited. */
     private void sendTo(Target t) {
         Moment now = context.clock().now();
+        try {
+            trySendTo(t, now);
+        } catch (RuntimeException e) {
+            Optional<BackendCall> failed;
+            synchronized (this) {
+                failed = call;
+                call = Optional.empty();
+                mayHaveRun |= failed.isPresent();
+            }
+            failed.ifPresent(c -> c.cancel("sending failed"));
+            fail(e, now);
+            context.dispatcher()
+                    .ended(
+                            admission.pool().orElseThrow(),
+                            t,
+                            failed.isPresent() && admission.streaming(),
+                            false,
+                            Dispatcher.CallResult.NEUTRAL,
+                            now);
+        }
+    }
+
+    private void trySendTo(Target t, Moment now) {
         BackendCall next;
         synchronized (this) {
             ticket = Optional.empty();
@@ -126,6 +172,7 @@
             sentAt = now;
             tried.add(t.key());
             answer = new CallAnswer();
+            retryGranted = false;
             next = new BackendCall(
                     context.client(),
                     t,
@@ -189,6 +236,10 @@
     @Override
     public void content(BackendCall from, ByteBuffer bytes) {
         Moment now = context.clock().now();
+        runOrFail(() -> receive(from, bytes, now), now);
+    }
+
+    private void receive(BackendCall from, ByteBuffer bytes, Moment now) {
         context.quarantine().answerReceived(from.server(), now);
         synchronized (this) {
             if (isStale(from)) {
@@ -229,10 +280,7 @@
             t = target.orElseThrow();
             started = answer.started();
             result = callResult(end);
-            if (end == BackendCall.End.BROKEN) {
-                recordBroken(now);
-            }
-            step = finished ? NextStep.NONE : nextStep(end, detail, now);
+            step = nextStepOrFail(end, detail, now);
         }
         if (result == Dispatcher.CallResult.SUCCEEDED) {
             context.dispatcher()
@@ -240,7 +288,20 @@
         }
         context.dispatcher().ended(admission.pool().orElseThrow(), t, admission.streaming(), started, result, now);
         if (step == NextStep.FIND_TARGET) {
-            requestTarget(now);
+            runOrFail(() -> requestTarget(now), now);
+        }
+    }
+
+    private NextStep nextStepOrFail(BackendCall.End end, String detail, Moment now) {
+        try {
+            if (end == BackendCall.End.BROKEN) {
+                recordBroken(now);
+            }
+            return finished ? NextStep.NONE : nextStep(end, detail, now);
+        } catch (RuntimeException e) {
+            mayHaveRun |= end != BackendCall.End.NOT_SENT;
+            fail(e, now);
+            return NextStep.NONE;
         }
     }
 
@@ -332,7 +393,7 @@
                 && refusals < MAX_REFUSALS
                 && now.isBefore(admission.deadline())
                 && admission.checkQuarantine(now).isEmpty()
-                && (!budgeted || context.tryRetry(service(), now));
+                && (!budgeted || retryGranted || context.tryRetry(service(), now));
         if (!allowed) {
             return giveUp(mayHaveRun ? Refusal.BROKEN : otherwise, reason, now);
         }
@@ -373,6 +434,7 @@
                 && !response.committed()
                 && attempts < admission.route().orElseThrow().maxAttempts()
                 && now.isBefore(admission.deadline())
+                && hasFreeTargetElsewhere(now)
                 && context.tryRetry(service(), now);
         if (retryServerError) {
             logRetry("backend server responded with status " + response.status());
@@ -438,6 +500,10 @@
      * periodically.
      */
     void tick(Moment now) {
+        runOrFail(() -> check(now), now);
+    }
+
+    private void check(Moment now) {
         NextStep step = NextStep.NONE;
         synchronized (this) {
             if (finished) {
@@ -463,11 +529,13 @@
     }
 
     /**
-     * Cancels the call to a target that no longer serves, so that the request is retried at another one.
+     * Cancels the call to a target that does not respond, if the request can be retried at another one now. Otherwise
+     * it waits, since the server may continue.
      *
      * @see GatewayContext#targetLost
      */
     void targetLost(String key, boolean onlyHeadUnresponsive) {
+        Moment now = context.clock().now();
         BackendCall lost;
         synchronized (this) {
             if (finished
@@ -476,13 +544,35 @@
                 return;
             }
             lost = call.get();
-            if (onlyHeadUnresponsive) {
-                recordBroken(context.clock().now());
+            if (onlyHeadUnresponsive && !answer.silenceRecorded()) {
+                answer.recordSilence();
+                recordBroken(now);
+            }
+            retryGranted = retryGranted || acquireRetryElsewhere(now);
+            if (!retryGranted) {
+                context.log().write("silent", "request waits for its server", "request", id(), "target", key);
+                return;
             }
         }
         lost.cancel("group has lost a member");
     }
 
+    /** Returns whether a retry of a running call is possible at another target, and acquires it. */
+    private boolean acquireRetryElsewhere(Moment now) {
+        Route route = admission.route().orElseThrow();
+        return route.repeatable()
+                && attempts + 1 < route.maxAttempts()
+                && refusals < MAX_REFUSALS
+                && now.isBefore(admission.deadline())
+                && admission.checkQuarantine(now).isEmpty()
+                && hasFreeTargetElsewhere(now)
+                && context.tryRetry(service(), now);
+    }
+
+    private boolean hasFreeTargetElsewhere(Moment now) {
+        return context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), tried, now);
+    }
+
     private String id() {
         return String.valueOf(request.getHeaders().get(context.headerNames().requestId()));
     }
@@ -504,6 +594,7 @@
             "tried", tried.size(),
             "waitedMs", waitedMillis,
             "totalMs", now.monotonicMillisSince(receivedAt),
+            "silentMs", answer.silence(now).map(Duration::toMillis).orElse(-1L),
             "version", context.fleet().version(),
             "versionAgeMs",
                     context.fleet()
--- a/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
@@ -172,7 +172,7 @@
         return HttpRequest.newBuilder(URI.create(entry.callersUrl() + path))
                 .header("Id", "r" + requestCount.incrementAndGet())
                 .header("Key", "a-key")
-                .header("Model", TestEngines.PAIR_MODEL.name())
+                .header("Model", EngineGroupTestSupport.MODEL.name())
                 .POST(HttpRequest.BodyPublishers.ofString("order"))
                 .build();
     }
@@ -386,13 +386,16 @@
                 GroupKey key = new GroupKey("g-" + domain, 1);
                 GroupMembership first = new GroupMembership(key, 0, MemberState.OPEN);
                 GroupMembership second = new GroupMembership(key, 1, MemberState.READY);
-                engines.add(TestEngines.pairEngine("head-" + domain, head.port(), domain, 1, Optional.of(first)));
-                engines.add(TestEngines.pairEngine("other-" + domain, head.port(), domain, 1, Optional.of(second)));
+                engines.add(
+                        EngineGroupTestSupport.engine("head-" + domain, head.port(), domain, 1, Optional.of(first)));
+                engines.add(
+                        EngineGroupTestSupport.engine("other-" + domain, head.port(), domain, 1, Optional.of(second)));
             }
             int port = backends.get(0).port();
-            engines.add(TestEngines.pairEngine("free-1", port, "d1", 1, Optional.empty()));
-            engines.add(TestEngines.pairEngine("free-2", port, "d1", 1, Optional.empty()));
-            platform = new FakePlatform(TestEngines.configuration(), engines);
+            engines.add(EngineGroupTestSupport.engine("free-1", port, "d1", 1, Optional.empty()));
+            engines.add(EngineGroupTestSupport.engine("free-2", port, "d1", 1, Optional.empty()));
+            platform =
+                    new FakePlatform(EngineGroupTestSupport.groups(EngineGroupTestSupport.Streams.RESUMABLE), engines);
             platform.markRestarted();
             Set<Integer> all = new HashSet<>();
             for (int i = 0; i < platform.settings().leasePartitions(); i++) {
