--- a/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
@@ -29,7 +29,7 @@
     /** The observed time without reception, or without a new connection, after which evidence is conclusive. */
     static final Duration CONFIRMATION_TIME = MAX_OBSERVED_PER_TICK.multipliedBy(2);
 
-    /** The observed time without reception after which requests in progress alone are a reason to probe. */
+    /** The observed time without reception after which a request in progress alone is a reason to probe. */
     static final Duration IDLE_TIME = MAX_OBSERVED_PER_TICK.multipliedBy(5);
 
     /** How long a failure counts unless something is received before. */
@@ -315,7 +315,10 @@
         if (silent || !connectFailures.isEmpty()) {
             return Optional.of(SUSPICION_PROBE_INTERVAL);
         }
-        boolean idle = silence.compareTo(IDLE_TIME) >= 0 && anyOutstanding();
+        long waiting =
+                activities.values().stream().filter(a -> a.outstanding > 0).count();
+        Duration idleTime = waiting >= MIN_SERVERS ? CONFIRMATION_TIME : IDLE_TIME;
+        boolean idle = waiting > 0 && silence.compareTo(idleTime) >= 0;
         return idle ? Optional.of(IDLE_PROBE_INTERVAL) : Optional.empty();
     }
 
--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
@@ -79,6 +79,11 @@
         return r == null || !now.isBefore(r.until());
     }
 
+    /** Forgets all failures and ends all exclusions. */
+    public void reset() {
+        ratings.clear();
+    }
+
     /**
      * Removes the ratings of targets whose exclusion ended long ago.
      *
--- a/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
@@ -412,6 +412,15 @@
             assertThat(probe()).hasSize(3);
         }
 
+        @Test
+        void areDueEarlierIfRequestsToSeveralServersGetNoResponse() {
+            List.of(A, B, C).forEach(reachability::requestSent);
+            tick();
+            assertThat(probe()).isEmpty();
+            tick();
+            assertThat(probe()).hasSize(3);
+        }
+
         /** The entry notices within half a second that the partition has ended. */
         @Test
         void goOnInTurnDuringAPartition() {
--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -2,13 +2,13 @@
 
 import java.nio.ByteBuffer;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import org.baobabspindle.core.dispatch.Target;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.port.ForwardingHeaders;
 import org.baobabspindle.port.ResponseHead;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -32,6 +32,7 @@
 
     private final BackendServer server;
     private final ServerNotices notices;
+    private final ReachabilityMonitor reachability;
     private final Listener listener;
     private final ForwardingHeaders headerNames;
     private final String requestId;
@@ -96,19 +97,16 @@
     record GatewayHeaders(long timeLeftMillis, String account, int priority, String lastEventId) {}
 
     BackendCall(
-            HttpClient client,
-            Target target,
-            Message message,
-            GatewayHeaders gatewayHeaders,
-            ForwardingHeaders names,
-            ServerNotices notices,
-            Listener listener) {
+            GatewayContext context, Target target, Message message, GatewayHeaders gatewayHeaders, Listener listener) {
+        ForwardingHeaders names = context.headerNames();
         this.server = target.server();
-        this.notices = notices;
+        this.notices = context.notices();
+        this.reachability = context.reachability();
         this.listener = listener;
         this.headerNames = names;
         this.requestId = message.headers().get(names.requestId());
-        this.request = client.newRequest(target.server().host(), target.server().port())
+        this.request = context.client()
+                .newRequest(target.server().host(), target.server().port())
                 .method(message.method())
                 .path(message.pathAndQuery());
         request.headers(h -> {
@@ -144,6 +142,7 @@
 
     void send() {
         request.onRequestBegin(r -> sent = true);
+        reachability.requestSent(server);
         request.send(this);
     }
 
@@ -164,6 +163,7 @@
 
     @Override
     public void onHeaders(Response response) {
+        reachability.received(server);
         HttpFields headers = response.getHeaders();
         notices.responseReceived(
                 server, ResponseHead.of(response.getStatus(), headers, headerNames.leaving(), headerNames.rateLimit()));
@@ -180,6 +180,7 @@
 
     @Override
     public void onContent(Response response, ByteBuffer content) {
+        reachability.received(server);
         if (!mismatched) {
             listener.content(this, content);
         }
@@ -187,6 +188,7 @@
 
     @Override
     public void onComplete(Result result) {
+        reachability.ended(server, Optional.ofNullable(result.getFailure()), sent);
         if (result.isSucceeded()) {
             listener.ended(this, End.COMPLETE, "");
         } else {
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -173,14 +173,7 @@
             tried.add(t.key());
             answer = new CallAnswer();
             retryGranted = false;
-            next = new BackendCall(
-                    context.client(),
-                    t,
-                    BackendCall.Message.of(request, body),
-                    gatewayHeaders(now),
-                    context.headerNames(),
-                    context.notices(),
-                    this);
+            next = new BackendCall(context, t, BackendCall.Message.of(request, body), gatewayHeaders(now), this);
             call = Optional.of(next);
         }
         context.dispatcher().sent(t, admission.streaming(), now);
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -17,7 +17,6 @@
 import org.baobabspindle.core.crash.RequestQuarantine;
 import org.baobabspindle.core.crash.SuspectRequest;
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.fleet.FleetService;
 import org.baobabspindle.core.fleet.Liveness;
 import org.baobabspindle.core.id.PromptPart;
 import org.baobabspindle.core.time.Moment;
@@ -300,7 +299,7 @@
     }
 
     private CompletableFuture<Liveness> liveness(BackendServer server) {
-        return engines.probeLiveness(server, healthPath(server), PROBE_TIMEOUT);
+        return engines.probeLiveness(server, fleet.healthPath(server), PROBE_TIMEOUT);
     }
 
     private synchronized boolean isCorroborated(BackendServer server) {
@@ -335,13 +334,6 @@
         reportCrashes(proven, "found by a probe");
     }
 
-    private String healthPath(BackendServer server) {
-        return fleet.configuration()
-                .flatMap(c -> c.service(server.service()))
-                .map(FleetService::healthPath)
-                .orElse("/");
-    }
-
     private void reportCrashes(Map<Crash, Moment> proven, String cause) {
         if (proven.isEmpty()) {
             return;
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import org.baobabspindle.core.dispatch.LoadTracker;
@@ -34,6 +35,7 @@
     private final FleetTable fleet;
     private final TargetChooser chooser;
     private final IntSupplier entryCount;
+    private final BooleanSupplier partitioned;
     private final GatewaySettings.Bounds bounds;
     private final LoadTracker loads = new LoadTracker();
     private final TargetHealth health = new TargetHealth();
@@ -53,10 +55,12 @@
             FleetTable fleet,
             TargetChooser chooser,
             IntSupplier entries,
+            BooleanSupplier partitioned,
             GatewaySettings.Bounds bounds,
             Executor workers) {
         this.rateLimits = new ServerRateLimits(self);
         this.entryCount = entries;
+        this.partitioned = partitioned;
         this.workers = workers;
         this.fleet = fleet;
         this.chooser = chooser;
@@ -251,7 +255,7 @@
             }
             if (result == CallResult.SUCCEEDED) {
                 health.recordSuccess(target.key());
-            } else if (result == CallResult.FAILED) {
+            } else if (result == CallResult.FAILED && !partitioned.getAsBoolean()) {
                 health.recordFailure(target.key(), now);
             }
         }
@@ -278,6 +282,14 @@
         rateLimits.updateEntries(entries, now);
     }
 
+    /** Makes all targets usable again after a partition of this entry, whose failures show nothing about them. */
+    void partitionEnded(Moment now) {
+        synchronized (this) {
+            health.reset();
+        }
+        drain(now);
+    }
+
     synchronized void exclude(String target, Moment until) {
         health.excludeUntil(target, until);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -10,6 +10,7 @@
 import org.baobabspindle.core.dispatch.TargetCatalog;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
+import org.baobabspindle.core.fleet.FleetService;
 import org.baobabspindle.core.fleet.ServerTable;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
@@ -205,6 +206,14 @@
                 .toList();
     }
 
+    /** Returns the path of health checks of a server; that of the root if its service is not configured. */
+    String healthPath(BackendServer server) {
+        return configuration()
+                .flatMap(c -> c.service(server.service()))
+                .map(FleetService::healthPath)
+                .orElse("/");
+    }
+
     /** Returns whether a server is listed and accepts new requests. */
     synchronized boolean isServing(BackendServer.Lifetime server) {
         return servers().stream().anyMatch(s -> s.lifetime().equals(server) && s.ready());
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -41,6 +41,7 @@
     private final IntSupplier entryCount;
     private final Duration keyLifetime;
     private final ServerNotices notices;
+    private final ReachabilityMonitor reachability;
     private final CrashGuard quarantine;
     private final ResponseBuffer.ByteBudget bufferBudget = new ResponseBuffer.ByteBudget(MAX_BUFFERED_BYTES);
     private final Set<CallerExchange> active = ConcurrentHashMap.newKeySet();
@@ -51,6 +52,7 @@
             Dispatcher dispatcher,
             HttpClient client,
             ServerNotices notices,
+            ReachabilityMonitor reachability,
             CrashGuard quarantine,
             ForwardingHeaders names,
             ShutdownState stopping,
@@ -64,6 +66,7 @@
         this.dispatcher = dispatcher;
         this.client = client;
         this.notices = notices;
+        this.reachability = reachability;
         this.quarantine = quarantine;
         this.headerNames = names;
         this.stopping = stopping;
@@ -94,6 +97,10 @@
         return notices;
     }
 
+    ReachabilityMonitor reachability() {
+        return reachability;
+    }
+
     CrashGuard quarantine() {
         return quarantine;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.baobabspindle.core.dispatch.Reachability;
 import org.baobabspindle.core.dispatch.ServerRateLimits;
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.BackendServer;
@@ -43,7 +44,7 @@
  */
 public final class GatewayNode {
     /** Threads for callers, backend servers and the store; none of them blocks. */
-    private static final int MAX_THREADS = 16;
+    private static final int MAX_THREADS = 17;
 
     /** Threads for messages between entries. */
     private static final int PEER_WORKERS = 4;
@@ -87,8 +88,11 @@
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
+    private final HttpClient probeClient;
     private final PlatformStore store;
     private final FleetTable fleet;
+    private final ReachabilityMonitor reachability = new ReachabilityMonitor(clock, log);
+    private final ReachabilityProber reachabilityProber;
     private final ShutdownState shutdown;
     private final EntryAnnouncement self;
     private final PeerMesh mesh;
@@ -110,6 +114,7 @@
         threads.setName("gateway");
         threads.setDaemon(true);
         client = GatewayServer.startClient(threads);
+        probeClient = GatewayServer.startProbeClient(threads);
         RecentPages recent = new RecentPages();
         store = new RelayedStore(
                 platform.store(client), this::readsFromFollowers, this::readFromFollower, recent, clock);
@@ -124,10 +129,16 @@
                 fleet,
                 new TargetChooser(settings.zone(), random.split()),
                 mesh::entryCount,
+                reachability::isPartitioned,
                 settings.bounds(),
                 threads);
         ServerNotices notices = new ServerNotices(clock, log, noticeListener(dispatcher));
-        EnginePort engines = platform.engines(client, notices::probeResponseReceived);
+        EnginePort engines = observedEngines(platform, notices);
+        reachabilityProber = new ReachabilityProber(
+                reachability,
+                fleet,
+                platform.engines(probeClient, notices::probeResponseReceived),
+                this::reachabilityChanged);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
         context = new GatewayContext(
                 clock,
@@ -135,6 +146,7 @@
                 dispatcher,
                 client,
                 notices,
+                reachability,
                 crashGuard,
                 platform.headers(),
                 shutdown,
@@ -157,6 +169,16 @@
                 context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
     }
 
+    private EnginePort observedEngines(Platform platform, ServerNotices notices) {
+        return new ObservedEnginePort(platform.engines(client, notices::probeResponseReceived), reachability);
+    }
+
+    private void reachabilityChanged(Reachability state) {
+        if (state == Reachability.REACHABLE) {
+            context.dispatcher().partitionEnded(clock.now());
+        }
+    }
+
     private ServerNotices.Listener noticeListener(Dispatcher dispatcher) {
         return new ServerNotices.Listener() {
             @Override
@@ -230,6 +252,7 @@
     void shutDown() throws Exception {
         timer.shutdownNow();
         server.stop();
+        probeClient.stop();
         client.stop();
         peerServer.close();
         mesh.close();
@@ -303,6 +326,7 @@
         });
         announce();
         scheduleEvery(TICK_INTERVAL, () -> context.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, () -> reachabilityProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
         scheduleEvery(KEEPER_INTERVAL, this::runKeeper);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -5,6 +5,8 @@
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import org.baobabspindle.port.GatewaySettings;
+import org.eclipse.jetty.client.ConnectionPool;
+import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
@@ -100,6 +102,19 @@
 
     /** Starts a client for backend servers and the store that neither decodes content nor follows redirects. */
     static HttpClient startClient(QueuedThreadPool threads) throws Exception {
+        return startClient(threads, d -> new DuplexConnectionPool(d, MAX_CONNECTIONS_PER_SERVER));
+    }
+
+    /** Starts a client that uses a new connection for each request. */
+    static HttpClient startProbeClient(QueuedThreadPool threads) throws Exception {
+        return startClient(threads, d -> {
+            DuplexConnectionPool pool = new DuplexConnectionPool(d, MAX_CONNECTIONS_PER_SERVER);
+            pool.setMaxUsage(1);
+            return pool;
+        });
+    }
+
+    private static HttpClient startClient(QueuedThreadPool threads, ConnectionPool.Factory pools) throws Exception {
         ClientConnector connector = new ClientConnector() {
             @Override
             protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
@@ -107,7 +122,9 @@
             }
         };
         connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        transport.setConnectionPoolFactory(pools);
+        HttpClient client = new HttpClient(transport);
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
         client.setIdleTimeout(CLIENT_IDLE_TIMEOUT.toMillis());
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
@@ -0,0 +1,185 @@
+package org.baobabspindle.gateway;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.baobabspindle.core.dispatch.BackendReachability;
+import org.baobabspindle.core.dispatch.Reachability;
+import org.baobabspindle.core.dispatch.TargetCatalog;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+
+/**
+ * Observes the traffic with backend servers and tells whether this entry is partitioned from all of them. Lock order:
+ * its lock is acquired after all others.
+ */
+final class ReachabilityMonitor {
+    private final GatewayClock clock;
+    private final EventLog log;
+    private final BackendReachability reachability = new BackendReachability();
+    private TargetCatalog listed = TargetCatalog.empty();
+    private Moment changedAt;
+
+    /** The state; a change is made while the lock is held. */
+    private volatile Reachability state = Reachability.REACHABLE;
+
+    ReachabilityMonitor(GatewayClock clock, EventLog log) {
+        this.clock = clock;
+        this.log = log;
+        this.changedAt = clock.now();
+    }
+
+    Reachability state() {
+        return state;
+    }
+
+    /** Returns whether this entry is partitioned from all backend servers. */
+    boolean isPartitioned() {
+        return state == Reachability.PARTITIONED;
+    }
+
+    /** Returns whether any backend server was heard from at a time or later. */
+    boolean heardSince(Moment since) {
+        return heardFromOthersSince(since, Set.of());
+    }
+
+    /** Returns whether a backend server other than some was heard from at a time or later. */
+    synchronized boolean heardFromOthersSince(Moment since, Collection<BackendServer> except) {
+        Set<InstanceId> ids = new HashSet<>();
+        except.forEach(s -> ids.add(s.id()));
+        return reachability.heardFromOthersSince(since, ids);
+    }
+
+    /** Returns whether a request that could not be sent to a server is likely to fail at others as well. */
+    synchronized boolean othersFail(BackendServer server) {
+        return reachability.othersFail(server.id());
+    }
+
+    synchronized void requestSent(BackendServer server) {
+        reachability.requestSent(server.id());
+    }
+
+    /** Records that anything was received from a server. */
+    synchronized void received(BackendServer server) {
+        Moment now = clock.now();
+        reachability.received(server.id(), now);
+        update(now);
+    }
+
+    /**
+     * Records the end of a request.
+     *
+     * @param failure why it failed; empty if it succeeded
+     * @param sent whether it had been sent; otherwise there was no connection
+     */
+    synchronized void ended(BackendServer server, Optional<Throwable> failure, boolean sent) {
+        reachability.ended(server.id());
+        if (failure.filter(ReachabilityMonitor::isNetworkFailure).isEmpty()) {
+            return;
+        }
+        if (sent) {
+            reachability.failed(server.id(), clock.now());
+        } else {
+            reachability.connectFailed(server.id(), clock.now());
+        }
+    }
+
+    /** Returns whether the peer did not end the connection in order, and this entry did not either. */
+    private static boolean isNetworkFailure(Throwable t) {
+        return t instanceof IOException && !(t instanceof EOFException) && !(t instanceof ClosedChannelException);
+    }
+
+    /** Records that a server did not answer. */
+    synchronized void failed(BackendServer server) {
+        reachability.failed(server.id(), clock.now());
+    }
+
+    /**
+     * Records that a probe on a new connection was not answered. The server may be busy, but during a partition this shows
+     * that new connections still fail.
+     */
+    synchronized void probeUnanswered(BackendServer server) {
+        if (isPartitioned()) {
+            connectFailed(server);
+        } else {
+            failed(server);
+        }
+    }
+
+    /** Records that a server refused a new connection. */
+    synchronized void connectFailed(BackendServer server) {
+        reachability.connectFailed(server.id(), clock.now());
+    }
+
+    /** Records that a server answered on a new connection. */
+    synchronized void connected(BackendServer server) {
+        reachability.connected();
+        received(server);
+    }
+
+    /**
+     * Evaluates the evidence; called periodically.
+     *
+     * @param fleet the table of the servers that are listed
+     * @return the servers to probe with new connections
+     */
+    synchronized List<BackendServer> tick(FleetTable fleet, Moment now) {
+        TargetCatalog catalog = fleet.catalog();
+        if (catalog != listed) {
+            listed = catalog;
+            reachability.setServers(shuffledIds(fleet, now));
+        }
+        reachability.tick(now);
+        update(now);
+        Set<InstanceId> due = new HashSet<>(reachability.serversToProbe(now));
+        if (due.isEmpty()) {
+            return List.of();
+        }
+        return fleet.servers().stream().filter(s -> due.contains(s.id())).toList();
+    }
+
+    /** Returns the servers that accept requests; in random order, so that entries do not all probe the same ones. */
+    private static List<InstanceId> shuffledIds(FleetTable fleet, Moment now) {
+        List<InstanceId> ids = new ArrayList<>();
+        fleet.servers().stream().filter(BackendServer::ready).forEach(s -> ids.add(s.id()));
+        Collections.shuffle(ids, new Random(now.monotonicNanos()));
+        return ids;
+    }
+
+    private void update(Moment now) {
+        Reachability current = reachability.state();
+        if (current == state) {
+            return;
+        }
+        BackendReachability.Evidence evidence = reachability.evidence();
+        log.write(
+                "partition",
+                current == Reachability.PARTITIONED
+                        ? "no backend server can be reached"
+                        : "backend servers can be reached again",
+                "state",
+                current,
+                "failed",
+                evidence.failedServers(),
+                "silentMs",
+                evidence.silence().toMillis(),
+                "isolated",
+                evidence.isolated(),
+                "disconnected",
+                evidence.disconnected(),
+                "beforeMs",
+                now.monotonicMillisSince(changedAt));
+        changedAt = now;
+        state = current;
+    }
+}
--- a/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.GroupMembership;
 import org.baobabspindle.core.time.Moment;
@@ -26,6 +29,9 @@
     /** How long a group with an unresponsive member is excluded; its keeper has dissolved it by then. */
     private static final Duration EXCLUSION_TIME = Duration.ofSeconds(4);
 
+    /** The servers outside a group that are probed together with it. */
+    private static final int MAX_REFERENCES = 2;
+
     private final GatewayContext context;
     private final EnginePort engines;
     private final Consumer<List<BackendServer>> suspectSink;
@@ -40,12 +46,16 @@
     }
 
     void tick(Moment now) {
+        if (context.reachability().isPartitioned()) {
+            return;
+        }
         for (String target : context.dispatcher().suspects(now)) {
             probe(target);
         }
     }
 
     private void probe(String target) {
+        Moment startedAt = context.clock().now();
         List<BackendServer> members = new ArrayList<>();
         for (BackendServer s : context.fleet().servers()) {
             if (s.group().map(GroupMembership::key).map(Object::toString).equals(Optional.of(target))) {
@@ -56,7 +66,27 @@
         CompletableFuture<?>[] probes = members.stream()
                 .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> reports.put(m, a)))
                 .toArray(CompletableFuture<?>[]::new);
-        CompletableFuture.allOf(probes).thenRun(() -> probesCompleted(target, reports));
+        CompletableFuture.allOf(Stream.concat(Stream.of(probes), probeReferences(members))
+                        .toArray(CompletableFuture<?>[]::new))
+                .thenRun(() -> probesCompleted(target, reports, startedAt));
+    }
+
+    /** Probes servers outside the group, whose answers show that this entry is not the one that has failed. */
+    private Stream<CompletableFuture<?>> probeReferences(List<BackendServer> members) {
+        Set<String> domains = new HashSet<>();
+        members.forEach(m -> domains.add(m.failureDomain()));
+        List<BackendServer> others = new ArrayList<>();
+        for (BackendServer s : context.fleet().servers()) {
+            if (s.ready() && !members.contains(s) && !domains.contains(s.failureDomain())) {
+                others.add(s);
+            }
+        }
+        List<CompletableFuture<?>> result = new ArrayList<>();
+        for (int i = 0; i < MAX_REFERENCES && !others.isEmpty(); i++) {
+            BackendServer s = others.remove(context.random().nextInt(others.size()));
+            result.add(engines.probeLiveness(s, context.fleet().healthPath(s), PROBE_TIMEOUT));
+        }
+        return result.stream();
     }
 
     /**
@@ -64,6 +94,9 @@
      * as well.
      */
     void receiveSuspects(List<BackendServer> unresponsive, Moment now) {
+        if (context.reachability().isPartitioned()) {
+            return;
+        }
         for (BackendServer s : unresponsive) {
             Optional<String> target = s.group().map(GroupMembership::key).map(Object::toString);
             if (target.isPresent() && context.dispatcher().unresponsive(target.get(), now)) {
@@ -73,7 +106,7 @@
         }
     }
 
-    private void probesCompleted(String target, Map<BackendServer, Optional<EngineReport>> reports) {
+    private void probesCompleted(String target, Map<BackendServer, Optional<EngineReport>> reports, Moment startedAt) {
         Moment now = context.clock().now();
         List<BackendServer> unresponsive = new ArrayList<>();
         List<BackendServer> elsewhere = new ArrayList<>();
@@ -99,6 +132,10 @@
             context.dispatcher().clearSuspicion(target, now);
             return;
         }
+        if (!unresponsive.isEmpty() && !context.reachability().heardFromOthersSince(startedAt, unresponsive)) {
+            log.write("doubt", "no other server responded, so that the probes show nothing", "target", target);
+            return;
+        }
         context.dispatcher().exclude(target, now.plus(EXCLUSION_TIME));
         if (!unresponsive.isEmpty()) {
             suspectSink.accept(unresponsive);
--- a/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
@@ -34,11 +34,11 @@
             }
         },
         /** Existing connections are reset; new ones hang. */
-        RESET(false) {
+        RESET(true) {
             @Override
             void apply(CuttableLink link) throws IOException {
-                link.hangNewConnections();
                 link.resetConnections();
+                link.hangNewConnections();
             }
         },
         /** Existing connections go on; new ones are refused. */
@@ -67,7 +67,7 @@
     private final List<Socket> fillers = new ArrayList<>();
     private final AtomicLong bytesToServer = new AtomicLong();
     private volatile ServerSocket listener;
-    private volatile boolean accepting = true;
+    private boolean accepting = true;
     private boolean holding;
     private boolean closed;
 
@@ -105,6 +105,7 @@
     void cut(Cut cut) throws IOException {
         synchronized (this) {
             holding = cut.holdsBytes;
+            accepting = !cut.holdsBytes;
         }
         cut.apply(this);
     }
@@ -145,11 +146,8 @@
         }
     }
 
-    /** Stops accepting and fills the accept queue, so that further connections get no response. */
+    /** Fills the accept queue, which is not emptied any more, so that further connections get no response. */
     private void hangNewConnections() throws IOException {
-        synchronized (this) {
-            accepting = false;
-        }
         while (true) {
             Socket s = new Socket();
             try {
--- a/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PartitionedEntryTests.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -77,9 +78,19 @@
                     s.group());
         }
 
-        void cut(CuttableLink.Cut cut) throws IOException {
-            for (CuttableLink l : links) {
-                l.cut(cut);
+        /** Cuts all links at the same time. */
+        void cut(CuttableLink.Cut cut) {
+            CompletableFuture.allOf(links.stream()
+                            .map(l -> CompletableFuture.runAsync(() -> cut(l, cut)))
+                            .toArray(CompletableFuture<?>[]::new))
+                    .join();
+        }
+
+        private void cut(CuttableLink link, CuttableLink.Cut cut) {
+            try {
+                link.cut(cut);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
             }
         }
 
@@ -196,7 +207,7 @@
         return sent.stream().filter(s -> s.status().join() == 200).count();
     }
 
-    /** Opens streams until each backend server has one in progress, and returns those that have begun. */
+    /** Opens several streams for each backend server, and returns them when they have begun. */
     private List<HttpResponse<InputStream>> openStreams(FakePlatform entry) {
         List<CompletableFuture<HttpResponse<InputStream>>> opening = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
