--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabspindle.port.ForwardingHeaders;
@@ -34,6 +35,7 @@
     private static final Set<String> NOT_FORWARDED = Set.of("host", RelayMark.HEADER.toLowerCase(Locale.ROOT));
 
     private final Destination destination;
+    private final ReachabilityMonitor reachability;
     private final Listener listener;
     private final String requestId;
     private final Request request;
@@ -110,6 +112,7 @@
             Listener listener) {
         ForwardingHeaders names = context.headerNames();
         this.destination = destination;
+        this.reachability = context.reachability();
         this.listener = listener;
         this.requestId = message.headers().get(names.requestId());
         this.request = context.client()
@@ -152,6 +155,7 @@
                 r.abort(new CancelledException("request was withdrawn"));
             }
         });
+        destination.server().ifPresent(reachability::requestSent);
         request.send(this);
     }
 
@@ -179,6 +183,7 @@
 
     @Override
     public void onHeaders(Response response) {
+        destination.server().ifPresent(reachability::received);
         HttpFields headers = response.getHeaders();
         if (!destination.headReceived(response.getStatus(), headers, requestId)) {
             mismatched = true;
@@ -191,6 +196,7 @@
 
     @Override
     public void onContent(Response response, ByteBuffer content) {
+        destination.server().ifPresent(reachability::received);
         if (!mismatched) {
             listener.content(this, content);
         }
@@ -198,6 +204,7 @@
 
     @Override
     public void onComplete(Result result) {
+        destination.server().ifPresent(s -> reachability.ended(s, Optional.ofNullable(result.getFailure()), isSent()));
         if (result.isSucceeded()) {
             listener.ended(this, End.COMPLETE, "");
         } else {
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -43,6 +43,7 @@
     private final ToIntFunction<Moment> dispatchingEntryCount;
     private final Duration keyLifetime;
     private final ServerNotices notices;
+    private final ReachabilityMonitor reachability;
     private final CrashGuard quarantine;
     private final EntryRelay relay;
     private final ResponseBuffer.ByteBudget bufferBudget = new ResponseBuffer.ByteBudget(MAX_BUFFERED_BYTES);
@@ -54,6 +55,7 @@
             Dispatcher dispatcher,
             HttpClient client,
             ServerNotices notices,
+            ReachabilityMonitor reachability,
             CrashGuard quarantine,
             EntryRelay relay,
             ForwardingHeaders names,
@@ -69,6 +71,7 @@
         this.dispatcher = dispatcher;
         this.client = client;
         this.notices = notices;
+        this.reachability = reachability;
         this.quarantine = quarantine;
         this.relay = relay;
         this.headerNames = names;
@@ -101,6 +104,10 @@
         return notices;
     }
 
+    ReachabilityMonitor reachability() {
+        return reachability;
+    }
+
     CrashGuard quarantine() {
         return quarantine;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
+import org.baobabspindle.core.dispatch.Reachability;
 import org.baobabspindle.core.dispatch.ServerRateLimits;
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.BackendServer;
@@ -45,7 +46,7 @@
  */
 public final class GatewayNode {
     /** Threads for callers, backend servers and the store; none of them blocks. */
-    private static final int MAX_THREADS = 16;
+    private static final int MAX_THREADS = 17;
 
     /** Threads for messages between entries. */
     private static final int PEER_WORKERS = 4;
@@ -79,18 +80,6 @@
     private static final FeedPoller.PollIntervals ENTRIES_POLL_INTERVALS =
             new FeedPoller.PollIntervals(Duration.ofSeconds(15), Duration.ofMillis(300));
 
-    private static final BackendLink CONNECTED = new BackendLink() {
-        @Override
-        public boolean isPartitioned() {
-            return false;
-        }
-
-        @Override
-        public boolean heardSince(Moment since) {
-            return true;
-        }
-    };
-
     private final GatewayClock clock = new GatewayClock();
     private final EventLog log = new EventLog();
     private final GatewayMetrics metrics = new GatewayMetrics();
@@ -102,8 +91,11 @@
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
+    private final HttpClient probeClient;
     private final PlatformStore store;
     private final FleetTable fleet;
+    private final ReachabilityMonitor reachability = new ReachabilityMonitor(clock, log);
+    private final ReachabilityProber reachabilityProber;
     private final ShutdownState shutdown;
     private final EntryAnnouncement self;
     private final PeerMesh mesh;
@@ -129,6 +121,7 @@
         threads.setName("gateway");
         threads.setDaemon(true);
         client = GatewayServer.startClient(threads);
+        probeClient = GatewayServer.startProbeClient(threads);
         RecentPages recent = new RecentPages();
         store = new RelayedStore(
                 platform.store(client), this::readsFromFollowers, this::readFromFollower, recent, clock);
@@ -136,7 +129,7 @@
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
         mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, log);
-        surroundings = adaptation.apply(new EntryRelay.Surroundings(CONNECTED, mesh));
+        surroundings = adaptation.apply(new EntryRelay.Surroundings(reachability, mesh));
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
         Dispatcher dispatcher = new Dispatcher(
@@ -144,10 +137,16 @@
                 fleet,
                 new TargetChooser(settings.zone(), random.split()),
                 mesh::entryCount,
+                this::isPartitioned,
                 settings.bounds(),
                 threads);
         ServerNotices notices = new ServerNotices(clock, log, noticeListener(dispatcher));
-        EnginePort engines = platform.engines(client, notices::probeResponseReceived);
+        EnginePort engines = observedEngines(platform, notices);
+        reachabilityProber = new ReachabilityProber(
+                reachability,
+                fleet,
+                platform.engines(probeClient, notices::probeResponseReceived),
+                this::reachabilityChanged);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
         context = createContext(dispatcher, notices, platform.headers(), random.split());
         Duration timeToLive =
@@ -181,6 +180,7 @@
                 dispatcher,
                 client,
                 notices,
+                reachability,
                 crashGuard,
                 new EntryRelay(surroundings, new PeerSecret(self.secret())),
                 headers,
@@ -193,6 +193,16 @@
                 settings.bounds());
     }
 
+    private EnginePort observedEngines(Platform platform, ServerNotices notices) {
+        return new ObservedEnginePort(platform.engines(client, notices::probeResponseReceived), reachability);
+    }
+
+    private void reachabilityChanged(Reachability state) {
+        if (state == Reachability.REACHABLE) {
+            context.dispatcher().partitionEnded(clock.now());
+        }
+    }
+
     private ServerNotices.Listener noticeListener(Dispatcher dispatcher) {
         return new ServerNotices.Listener() {
             @Override
@@ -271,6 +281,7 @@
     void shutDown() throws Exception {
         timer.shutdownNow();
         server.stop();
+        probeClient.stop();
         client.stop();
         peerServer.close();
         mesh.close();
@@ -344,6 +355,7 @@
         });
         announce();
         scheduleEvery(TICK_INTERVAL, () -> context.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, () -> reachabilityProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, this::checkPartition);
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -53,18 +53,30 @@
     }
 
     void start(RawBackend.Script... scripts) throws Exception {
-        start(UnaryOperator.identity(), scripts);
+        start(configuration(), UnaryOperator.identity(), scripts);
+    }
+
+    void start(FleetConfiguration configuration, RawBackend.Script... scripts) throws Exception {
+        start(configuration, UnaryOperator.identity(), scripts);
     }
 
-    /** Starts a gateway whose surroundings may be simulated, before backend servers that follow the scripts. */
     void start(UnaryOperator<EntryRelay.Surroundings> adaptation, RawBackend.Script... scripts) throws Exception {
+        start(configuration(), adaptation, scripts);
+    }
+
+    /** Starts a gateway whose surroundings may be simulated, before backend servers that follow the scripts. */
+    private void start(
+            FleetConfiguration configuration,
+            UnaryOperator<EntryRelay.Surroundings> adaptation,
+            RawBackend.Script... scripts)
+            throws Exception {
         List<BackendServer> servers = new ArrayList<>();
         for (RawBackend.Script s : scripts) {
             RawBackend b = new RawBackend(s);
             backends.add(b);
             servers.add(server("b" + backends.size(), b.port()));
         }
-        platform = new FakePlatform(configuration(), servers);
+        platform = new FakePlatform(configuration, servers);
         node = GatewayNode.open(platform, adaptation);
         await(() -> status(platform.readinessUrl()) == 200);
     }
@@ -86,6 +98,10 @@
     }
 
     static FleetConfiguration configuration() {
+        return configuration(ROUTE_TIMEOUT);
+    }
+
+    static FleetConfiguration configuration(Duration routeTimeout) {
         List<Route> routes = new ArrayList<>();
         for (RouteKind kind : RouteKind.values()) {
             String prefix = "/" + kind.name().toLowerCase(Locale.ROOT) + "/";
@@ -96,7 +112,7 @@
                     kind,
                     kind.streaming(),
                     false,
-                    ROUTE_TIMEOUT,
+                    routeTimeout,
                     Duration.ofMillis(400),
                     Duration.ZERO,
                     1,
