--- a/core/src/main/java/org/baobabspindle/core/crash/CrashDetector.java
+++ b/core/src/main/java/org/baobabspindle/core/crash/CrashDetector.java
@@ -190,6 +190,14 @@
         suspicions.values().removeIf(suspicion -> suspicion.brokenAt.isEmpty());
     }
 
+    /**
+     * Forgets the requests that broke off without a sign that this entry is connected. Called when this entry turns out to
+     * be partitioned from the backend servers, which is why they broke off.
+     */
+    public void forgetUncorroborated() {
+        suspicions.values().removeIf(suspicion -> !suspicion.corroborated);
+    }
+
     /**
      * Drops the requests that broke off before a time at which the server was running; probing restarts for later ones.
      */
--- a/core/src/test/java/org/baobabspindle/core/crash/CrashDetectorTests.java
+++ b/core/src/test/java/org/baobabspindle/core/crash/CrashDetectorTests.java
@@ -50,6 +50,17 @@
                 Optional.empty());
     }
 
+    @Test
+    void forgetsBreaksOfAPartitionedEntryUnlessAnotherServerWasHeardFrom() {
+        BackendServer last = server("s3", 7003, 1_000);
+        detector.requestBroken(List.of(REQUEST), SERVER, at(0));
+        detector.answerReceived(OTHER_SERVER, at(200));
+        detector.requestBroken(List.of(OTHER), last, at(250));
+        detector.forgetUncorroborated();
+        assertThat(detector.unresolvedFailureDomains(REQUEST, at(300))).isEqualTo(1);
+        assertThat(detector.unresolvedFailureDomains(OTHER, at(300))).isEqualTo(0);
+    }
+
     @Nested
     class Probing {
         @Test
--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -49,6 +49,7 @@
     private volatile CrashPeers peers = CrashPeers.NONE;
     private volatile boolean investigating;
     private volatile boolean tracking;
+    private volatile boolean partitioned;
 
     CrashGuard(
             FleetTable fleet,
@@ -65,6 +66,20 @@
         this.random = random;
     }
 
+    /** This entry is partitioned from the backend servers; that they broke off requests shows nothing until it ends. */
+    void partitionBegan() {
+        synchronized (this) {
+            partitioned = true;
+            detector.forgetUncorroborated();
+            investigating = !detector.isEmpty();
+        }
+    }
+
+    /** This entry reaches the backend servers again. */
+    void partitionEnded() {
+        partitioned = false;
+    }
+
     void peers(CrashPeers newPeers) {
         peers = newPeers;
     }
@@ -218,15 +233,15 @@
 
     /**
      * Records that a server broke a request. A server that is draining or not listed is shutting down as planned and is
-     * not suspected.
+     * not suspected, nor is one that this entry does not reach.
      *
      * @param answering whether the server had begun to answer the request
      */
     void requestBroken(SuspectRequest request, boolean answering, String requestId, BackendServer server, Moment now) {
-        boolean serving = fleet.isServing(server.lifetime());
+        boolean suspected = !partitioned && fleet.isServing(server.lifetime());
         log.write(
                 "broken-off",
-                serving ? "server will be probed" : "server was draining",
+                suspected ? "server will be probed" : "server was draining or cannot be reached",
                 "request",
                 requestId,
                 "fingerprint",
@@ -240,7 +255,7 @@
                 "born",
                 server.bornMillis());
         metrics.brokenRequests();
-        if (!serving) {
+        if (!suspected) {
             return;
         }
         synchronized (this) {
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -174,7 +174,10 @@
     }
 
     private void reachabilityChanged(Reachability state) {
-        if (state == Reachability.REACHABLE) {
+        if (state == Reachability.PARTITIONED) {
+            crashGuard.partitionBegan();
+        } else {
+            crashGuard.partitionEnded();
             context.dispatcher().partitionEnded(clock.now());
         }
     }
