--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -366,9 +366,11 @@
 
     private synchronized void suspectProbed(BackendServer server, Optional<EngineReport> report) {
         probing.remove(server.lifetime());
-        if (report.isEmpty()
-                && !partitioned.getAsBoolean()
-                && suspicionReports.isSuspected(server.lifetime(), clock.now())) {
+        if (report.isPresent()) {
+            log.write("suspect", "the engine responds to this keeper", "server", server.id());
+        } else if (partitioned.getAsBoolean() || !suspicionReports.isSuspected(server.lifetime(), clock.now())) {
+            log.write("suspect", "the report was withdrawn or this entry is partitioned", "server", server.id());
+        } else {
             markLost(server);
         }
     }
