Entries that are partitioned from the backend servers do not share their rate limits

Responsive entries that say that they are partitioned are left out of the division; they send nothing to servers, and count again with the exchange at the end of their partition. Whether an entry has lost contact to the others is decided as before.

--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -325,9 +325,9 @@
     }
 
     /**
-     * Returns the entries that share limits of backend servers, this one included: those that are responsive and ready.
-     * An entry that has lost contact to half of the others shares with all that were responsive a short time ago, since
-     * those may still send requests.
+     * Returns the entries that share limits of backend servers, this one included: those that are responsive, ready and
+     * not partitioned from the backend servers. An entry that has lost contact to half of the others shares with all that
+     * were responsive a short time ago, since those may still send requests.
      */
     synchronized Set<InstanceId> sharingEntries(Moment now) {
         Set<InstanceId> recent = new HashSet<>(Set.of(self.entry().instance()));
@@ -342,7 +342,11 @@
         alivePeers(now).stream()
                 .filter(p -> p.ready)
                 .forEach(p -> responsive.add(p.entry.entry().instance()));
-        return responsive.size() * 2 > recent.size() ? responsive : recent;
+        if (responsive.size() * 2 <= recent.size()) {
+            return recent;
+        }
+        responsive.removeIf(this::isPartitioned);
+        return responsive;
     }
 
     /**
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -219,6 +219,26 @@
         assertThat(mesh.dispatchingEntryCount(later)).isEqualTo(2);
     }
 
+    /** The limit of a backend server would be unused if only entries that cannot reach it shared it. */
+    @Test
+    void partitionedEntriesDoNotShareLimits() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        startPeer("b", ZONE).partitioned = true;
+        startPeer("c", ZONE);
+        exchangeWithAll();
+        assertThat(mesh.sharingEntries(clock.now()))
+                .containsExactly(SELF.entry().instance(), InstanceId.of("c"));
+    }
+
+    @Test
+    void entryThatLostContactToMostOthersSharesLimitsWithAll() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        startPeer("b", ZONE);
+        exchangeWithAll();
+        Moment later = clock.now().plus(FleetScaling.aliveTimeout(3)).plus(Duration.ofMillis(1));
+        assertThat(mesh.sharingEntries(later)).hasSize(3);
+    }
+
     /** The choice of an entry to which a request is relayed. */
     @Nested
     class RelayPeerTests {
