Requests in progress are answered before a stopping process exits

What callers saw: a request that was still waiting, or still unanswered by its backend server, when a stopping process exited got neither an answer nor a refusal; its connection was closed by the exit. Requests without a committed response are concerned: those that wait for a slot, a retry or an investigation, and those at a silent server. A response handed to Jetty but not yet written completely could also be cut, since such a request counted as ended.

Cause: GatewayNode.stop returned at the end of the grace period whatever was in progress.

Evidence: GatewayTimeTests sends two requests to a server that never answers, with a route timeout beyond the grace period. Before the fix requestInProgressIsAnsweredBeforeTheProcessEnds failed: a second after stop() had returned, the request had no response (TimeoutException). The part about responses that are not yet written has no test of its own.

Why the fix works: at the end of the grace period each request in progress is refused (502 if it was sent, else 503; a response that has begun is aborted), and stop() waits up to 200 ms, half of the margin before the process is killed, until the responses are written. A request counts as active until Jetty has written its response.

--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -67,8 +67,9 @@
         this.admission = new CallerAdmission(context, request, now);
         this.progress = new RequestProgress(context, admission);
         this.log = new ExchangeLog(context, admission, progress, id(), now);
+        Callback done = Callback.from(callback, () -> context.closed(this));
         this.response = new CallerResponse(
-                context, response, new CallerResponseWriter(response, callback, this::callerDisconnected));
+                context, response, new CallerResponseWriter(response, done, this::callerDisconnected));
     }
 
     /**
@@ -532,6 +533,16 @@
         }
     }
 
+    /** Ends the request because the process is about to exit. */
+    void endWithProcess(Moment now) {
+        runOrFail(() -> refuseBeforeExit(now), now);
+    }
+
+    private synchronized void refuseBeforeExit(Moment now) {
+        boolean sent = progress.mayHaveRun() || call.isPresent();
+        refuse(sent ? Refusal.BROKEN : Refusal.STOPPING, "the process is about to exit", now);
+    }
+
     private NextStep leaveQueue(Moment now) {
         boolean left = ticket.isPresent()
                 && choosePath(now) != RelayPolicy.Path.DIRECT
@@ -577,7 +588,7 @@
 
     private void logOutcome(String outcome, String reason, int sentStatus, Moment now) {
         bufferedBody.clear();
-        context.finished(this, outcome);
+        context.finished(outcome);
         log.outcome(outcome, reason, sentStatus, destination, answer, waitedMillis, now);
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -155,11 +155,17 @@
         active.add(exchange);
     }
 
-    void finished(CallerExchange exchange, String outcome) {
-        active.remove(exchange);
+    /** Records the outcome of a request whose response may still have to be written. */
+    void finished(String outcome) {
         metrics.finished(outcome);
     }
 
+    /** Records that the response of a request was written completely or aborted. */
+    void closed(CallerExchange exchange) {
+        active.remove(exchange);
+    }
+
+    /** Returns the requests that were read completely and whose responses are not written completely. */
     Set<CallerExchange> active() {
         return active;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -77,6 +77,11 @@
     /** Subtracted from the grace period, so that the process exits before it is killed. */
     private static final Duration GRACE_PERIOD_MARGIN = Duration.ofMillis(400);
 
+    /** How long a stopping entry waits for its last responses to be written; part of the margin. */
+    private static final Duration LAST_WRITE_TIMEOUT = Duration.ofMillis(200);
+
+    private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
+
     private static final FeedPoller.PollIntervals ENTRIES_POLL_INTERVALS =
             new FeedPoller.PollIntervals(Duration.ofSeconds(15), Duration.ofMillis(300));
 
@@ -527,7 +532,7 @@
 
     /**
      * Shuts the entry down: releases the lease, reports to peers that it is not ready, keeps serving requests until
-     * callers have left, and returns before the grace period ends.
+     * callers have left, and returns before the grace period ends. Requests that are then still in progress are refused.
      */
     void stop() {
         Moment startedAt = clock.now();
@@ -535,22 +540,41 @@
         log.write("stop", "shutting down", "active", context.active().size());
         lease.release();
         gossip.exchangeState();
-        Duration maxDuration = settings.bounds().gracePeriod().minus(GRACE_PERIOD_MARGIN);
-        Moment lastActive = startedAt;
         try {
-            while (clock.now().since(startedAt).compareTo(maxDuration) < 0) {
-                Moment now = clock.now();
-                if (!context.active().isEmpty() || !shutdown.refusesNewRequests(false, now)) {
-                    lastActive = now;
-                }
-                if (now.since(lastActive).compareTo(IDLE_BEFORE_EXIT) > 0) {
-                    break;
-                }
-                TimeUnit.MILLISECONDS.sleep(50);
-            }
+            serveUntilCallersHaveLeft(startedAt);
+            int unfinished = context.active().size();
+            context.active().forEach(x -> x.endWithProcess(clock.now()));
+            awaitLastWrites(clock.now());
+            log.write(
+                    "stop",
+                    "done",
+                    "active",
+                    unfinished,
+                    "unwritten",
+                    context.active().size());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.write("stop", "done", "active", context.active().size());
+    }
+
+    private void serveUntilCallersHaveLeft(Moment startedAt) throws InterruptedException {
+        Duration maxDuration = settings.bounds().gracePeriod().minus(GRACE_PERIOD_MARGIN);
+        Moment lastActive = startedAt;
+        while (clock.now().since(startedAt).compareTo(maxDuration) < 0) {
+            Moment now = clock.now();
+            if (!context.active().isEmpty() || !shutdown.refusesNewRequests(false, now)) {
+                lastActive = now;
+            }
+            if (now.since(lastActive).compareTo(IDLE_BEFORE_EXIT) > 0) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL.toMillis());
+        }
+    }
+
+    private void awaitLastWrites(Moment since) throws InterruptedException {
+        while (!context.active().isEmpty() && clock.now().since(since).compareTo(LAST_WRITE_TIMEOUT) < 0) {
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL.toMillis());
+        }
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.baobabspindle.port.Feed;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -97,6 +98,32 @@
         }
     }
 
+    @Nested
+    class EndOfGracePeriod {
+        /** Longer than the grace period. */
+        private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
+
+        private CompletableFuture<Integer> sendInBackground(String path) {
+            return http.sendAsync(
+                            request(path)
+                                    .POST(HttpRequest.BodyPublishers.noBody())
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .thenApply(HttpResponse::statusCode);
+        }
+
+        @Test
+        void requestInProgressIsAnsweredBeforeTheProcessEnds() throws Exception {
+            start(configuration(LONG_TIMEOUT), (request, out, socket) -> RawBackend.awaitClose(socket));
+            CompletableFuture<Integer> unsafe = sendInBackground("/unsafe/x");
+            CompletableFuture<Integer> stream = sendInBackground("/stream/x");
+            await(() -> backends.get(0).requests().size() == 2);
+            node.stop();
+            assertThat(unsafe.get(1, TimeUnit.SECONDS)).isEqualTo(502);
+            assertThat(stream.get(1, TimeUnit.SECONDS)).isEqualTo(502);
+        }
+    }
+
     @Nested
     class Restart {
         /** All entries were killed; only the contents of the store are left. */
