Test that a disconnect is detected after a body that arrived late

The check of a caller's connection reads nothing while Jetty waits for input. Jetty does so between the parts of a body; this test shows that it no longer does once the body has been read, so that the check still sees the close within half a second. It passed when it was added; it guards no known fault.

--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTimeTests.java
@@ -156,6 +156,22 @@
             assertThat(Duration.ofNanos(System.nanoTime() - disconnectedAt)).isLessThan(Duration.ofMillis(500));
         }
 
+        @Test
+        void disconnectAfterABodyThatArrivedLateCancelsTheCallToItsBackendServer() throws Exception {
+            start((request, out, socket) -> RawBackend.awaitClose(socket));
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), platform.callerPort())) {
+                String head = "POST /stream/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: a-key\r\n"
+                        + "Content-Length: 5\r\n\r\n";
+                caller.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+                Thread.sleep(200);
+                caller.getOutputStream().write("order".getBytes(StandardCharsets.ISO_8859_1));
+                await(() -> !backends.get(0).requests().isEmpty());
+            }
+            long disconnectedAt = System.nanoTime();
+            await(() -> backends.get(0).closedByGateway() == 1);
+            assertThat(Duration.ofNanos(System.nanoTime() - disconnectedAt)).isLessThan(Duration.ofMillis(500));
+        }
+
         @Test
         void respondsAtTheTimeoutOfTheRoute() throws Exception {
             start((request, out, socket) -> RawBackend.awaitClose(socket));
