A term that was requested before partitions were acquired again is ignored

Another entry may have held the partitions in between under a later term; the groups that this entry then formed had epochs below those that engines had seen. An entry that releases its lease at every partition from the backend servers meets this more often. A term now counts only for the acquisition that requested it.

--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
@@ -42,6 +42,9 @@
     /** The calls to the store that are pending; it may receive concurrent ones in any order. */
     private int pendingCalls;
 
+    /** How often partitions were acquired so far; a term that was requested before the last time is ignored. */
+    private int acquisitionCount;
+
     /** The number of releases so far; a grant that was requested before a release is ignored. */
     private int releaseCount;
 
@@ -84,6 +87,7 @@
 
     private void grantReceived(LeaseGrant grant, Moment requestedAt, int requestReleaseCount) {
         boolean termNeeded;
+        int requestAcquisitionCount;
         synchronized (this) {
             if (requestReleaseCount != releaseCount) {
                 return;
@@ -103,18 +107,23 @@
             }
             partitions = grant.partitions();
             if (termNeeded) {
+                acquisitionCount++;
                 term = Optional.empty();
                 Moment earliest = clock.now().plus(restored ? timeToLive : HANDOVER_DELAY);
                 usableFrom = usableFrom.isBefore(earliest) ? earliest : usableFrom;
             }
             termNeeded = term.isEmpty() && !partitions.isEmpty();
+            requestAcquisitionCount = acquisitionCount;
         }
         if (termNeeded) {
-            store.nextTerm(member).whenComplete((t, failure) -> termReceived(t, failure));
+            store.nextTerm(member).whenComplete((t, failure) -> termReceived(t, failure, requestAcquisitionCount));
         }
     }
 
-    private synchronized void termReceived(Long newTerm, Throwable failure) {
+    private synchronized void termReceived(Long newTerm, Throwable failure, int requestAcquisitionCount) {
+        if (requestAcquisitionCount != acquisitionCount) {
+            return;
+        }
         if (failure == null) {
             term = Optional.of(newTerm);
             log.write("lease", "new term obtained", "term", newTerm);
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -84,6 +84,7 @@
     private volatile Set<Integer> partitions = Set.of();
     private volatile Optional<CompletableFuture<LeaseGrant>> renewals = Optional.empty();
     private volatile Optional<CompletableFuture<Void>> releases = Optional.empty();
+    private volatile Optional<CompletableFuture<Long>> terms = Optional.empty();
     private final AtomicInteger renewalCount = new AtomicInteger();
     private final AtomicInteger releaseCount = new AtomicInteger();
 
@@ -268,6 +269,11 @@
         releases = Optional.of(answer);
     }
 
+    /** Makes all later requests for terms complete with a future. */
+    void answerTerms(CompletableFuture<Long> answer) {
+        terms = Optional.of(answer);
+    }
+
     /** Returns how many renewals of leases were requested. */
     int renewalCount() {
         return renewalCount.get();
@@ -429,7 +435,7 @@
 
     @Override
     public CompletableFuture<Long> nextTerm(String member) {
-        return answer(1L);
+        return terms.orElseGet(() -> answer(1L));
     }
 
     @Override
--- a/entry/src/test/java/org/baobabspindle/gateway/KeeperLeaseTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/KeeperLeaseTests.java
@@ -104,4 +104,20 @@
         lease.renew();
         assertThat(platform.renewalCount()).isEqualTo(2);
     }
+
+    /** Another entry may have held the partitions meanwhile and given engines a later term. */
+    @Test
+    void ignoresTermRequestedBeforePartitionsWereAcquiredAgain() {
+        CompletableFuture<Long> early = new CompletableFuture<>();
+        platform.answerTerms(early);
+        lease.renew();
+        lease.release();
+        CompletableFuture<Long> later = new CompletableFuture<>();
+        platform.answerTerms(later);
+        lease.renew();
+        early.complete(1L);
+        assertThat(lease.term(clock.now().plus(AFTER_HANDOVER))).isEmpty();
+        later.complete(3L);
+        assertThat(lease.term(clock.now().plus(AFTER_HANDOVER))).hasValue(3L);
+    }
 }
