Do not give up the server of a stream whose key was removed since

What callers saw: beside a change of the configuration that removed the key, a stream was cut off 0.5 s after its server had fallen silent, although the server was sound and continued after 1.2 s. Evidence: streamIsNotCutOffWhenItsKeyIsRemovedBeforeItsServerIsSilent failed before ("cut", UNKNOWN_KEY, totalMs 525) and passes. Works because the check that would refuse the retry is asked before the call is cancelled.

--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -156,6 +156,7 @@
                 || (isRepeatable()
                         && attempts + 1 < admission.maxAttempts()
                         && isAllowed(path, now)
+                        && admission.checkKey(now).isEmpty()
                         && (path == Path.RELAY || hasFreeTargetElsewhere(now))
                         && takeFromBudget(now));
         return retryGranted;
--- a/entry/src/test/java/org/baobabspindle/gateway/EngineGroupTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/EngineGroupTestSupport.java
@@ -31,6 +31,7 @@
 abstract class EngineGroupTestSupport extends GatewayTestSupport {
     static final EngineModel MODEL = new EngineModel("small", 2, 1, 1, Duration.ofSeconds(12), Duration.ofSeconds(1));
     static final long FIRST_START = 1;
+    static final int DEFAULT_SLOTS = 12;
 
     /** The streams of a route, which are resumed at another group or not. */
     enum Streams {
@@ -39,8 +40,12 @@
     }
 
     static FleetConfiguration groups(Streams streams) {
+        return groups(streams, 1, DEFAULT_SLOTS, "a-key");
+    }
+
+    static FleetConfiguration groups(Streams streams, long version, int slots, String apiKey) {
         EngineProfile profile =
-                new EngineProfile(12, 7.8, 0.134, 45_900, 5, 5, 7, Duration.ofMillis(300), List.of(MODEL));
+                new EngineProfile(slots, 7.8, 0.134, 45_900, 5, 5, 7, Duration.ofMillis(300), List.of(MODEL));
         Route route = new Route(
                 "stream",
                 "127.0.0.1",
@@ -55,10 +60,10 @@
                 2,
                 List.of(new WeightedService("pool", 1)));
         return new FleetConfiguration(
-                1,
+                version,
                 List.of(route),
                 List.of(new FleetService("pool", 100, "/health", Optional.of(profile))),
-                Map.of("a-key", new AccountPolicy(ClientAccountId.of("acme"), OptionalInt.empty())),
+                Map.of(apiKey, new AccountPolicy(ClientAccountId.of("acme"), OptionalInt.empty())),
                 true,
                 new CallerLimits(8_000, 1_000_000, Duration.ofSeconds(5), Duration.ofSeconds(30)));
     }
@@ -81,6 +86,11 @@
 
     /** Starts an entry before one group for each domain; the heads {@code head-DOMAIN} follow the script. */
     void startGroups(Streams streams, List<String> domains, RawBackend.Script script) throws Exception {
+        startGroups(groups(streams), domains, script);
+    }
+
+    void startGroups(FleetConfiguration configuration, List<String> domains, RawBackend.Script script)
+            throws Exception {
         List<BackendServer> engines = new ArrayList<>();
         for (String domain : domains) {
             RawBackend head = new RawBackend(script);
@@ -91,7 +101,7 @@
             engines.add(engine("head-" + domain, head.port(), domain, FIRST_START, Optional.of(first)));
             engines.add(engine("other-" + domain, head.port(), domain, FIRST_START, Optional.of(second)));
         }
-        platform = new FakePlatform(groups(streams), engines);
+        platform = new FakePlatform(configuration, engines);
         for (String domain : domains) {
             platform.makeUnresponsive(InstanceId.of("head-" + domain));
         }
@@ -99,11 +109,14 @@
         await(() -> status(platform.readinessUrl()) == 200);
     }
 
-    HttpResponse<String> sendStream() throws Exception {
-        HttpRequest r = request("/stream/x")
+    HttpRequest streamRequest() {
+        return request("/stream/x")
                 .header("Model", MODEL.name())
                 .POST(HttpRequest.BodyPublishers.ofString("prompt"))
                 .build();
-        return http.send(r, HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> sendStream() throws Exception {
+        return http.send(streamRequest(), HttpResponse.BodyHandlers.ofString());
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -70,12 +70,13 @@
             "Last-Event-Id",
             "Fault-At");
 
-    private final FleetConfiguration configuration;
+    private volatile FleetConfiguration configuration;
     private final List<BackendServer> servers;
     private final List<Integer> ports = new ArrayList<>();
     private final Set<Feed> failingFeeds = ConcurrentHashMap.newKeySet();
     private final Set<InstanceId> unresponsive = ConcurrentHashMap.newKeySet();
     private final Queue<FeedRecord> serverRecords = new ConcurrentLinkedQueue<>();
+    private final Queue<FeedRecord> configurationRecords = new ConcurrentLinkedQueue<>();
     private final Queue<SentOrder> orders = new ConcurrentLinkedQueue<>();
     private volatile CompletableFuture<OrderAnswer> orderAnswer =
             CompletableFuture.completedFuture(OrderAnswer.REFUSED);
@@ -182,6 +183,12 @@
         }
     }
 
+    /** Publishes a later version of the configuration. */
+    void configure(FleetConfiguration later) {
+        configuration = later;
+        configurationRecords.add(new FeedRecord("configuration", Optional.of(new byte[1])));
+    }
+
     /** Removes a backend server from the list. */
     void unlist(String id) {
         serverRecords.add(new FeedRecord(id, Optional.empty()));
@@ -398,7 +405,12 @@
             return answer(FeedPage.ofExpired());
         }
         List<FeedRecord> records = new ArrayList<>();
-        FeedRecord next = feed == Feed.BACKEND_SERVERS ? serverRecords.poll() : null;
+        FeedRecord next =
+                switch (feed) {
+                    case CONFIGURATION -> configurationRecords.poll();
+                    case BACKEND_SERVERS -> serverRecords.poll();
+                    default -> null;
+                };
         if (next != null) {
             records.add(next);
         }
--- a/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
@@ -50,4 +51,27 @@
         startGroups(Streams.RESUMABLE, List.of("d1", "d2", "d3"), SILENT_ONCE);
         assertStreamIsWhole();
     }
+
+    /** A resumed stream would be refused, because its key is no longer valid. */
+    @Test
+    void streamIsNotCutOffWhenItsKeyIsRemovedBeforeItsServerIsSilent() throws Exception {
+        startGroups(Streams.RESUMABLE, List.of("d1", "d2"), (request, out, socket) -> {
+            platform.configure(groups(Streams.RESUMABLE, 2, DEFAULT_SLOTS, "b-key"));
+            await(() -> statusWithUnknownModel() == 401);
+            SILENT_ONCE.answer(request, out, socket);
+        });
+        assertStreamIsWhole();
+    }
+
+    private int statusWithUnknownModel() {
+        try {
+            HttpRequest r = request("/stream/x")
+                    .header("Model", "unknown")
+                    .POST(HttpRequest.BodyPublishers.ofString("prompt"))
+                    .build();
+            return http.send(r, HttpResponse.BodyHandlers.ofString()).statusCode();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
