--- a/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -5,7 +5,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -74,4 +78,39 @@
             throw new IllegalStateException(e);
         }
     }
+
+    /** The group with fewer streams has one free slot for those of the other one. */
+    @Test
+    void streamsOfASilentServerAreNotCutOffForTheSameFreeSlot() throws Exception {
+        int slots = 3;
+        Map<String, Integer> streams = new ConcurrentHashMap<>();
+        startGroups(groups(Streams.RESUMABLE, 1, slots, "a-key"), List.of("d1", "d2"), (request, out, socket) -> {
+            String head = RawBackend.header(request, "Expect");
+            String last = RawBackend.header(request, "Last-Event-Id");
+            if (last.isEmpty()) {
+                streams.merge(head, 1, Integer::sum);
+                await(() -> streams.values().stream().mapToInt(n -> n).sum() == 2 * slots - 1);
+            }
+            if (streams.get(head) == slots) {
+                SILENT_ONCE.answer(request, out, socket);
+                return;
+            }
+            int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+            RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")));
+            for (int i = first; i <= 100; i++) {
+                RawBackend.write(out, chunk(event(i)));
+                Thread.sleep(40);
+            }
+            RawBackend.write(out, "0\r\n\r\n");
+        });
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 2 * slots - 1; i++) {
+            int sent = i + 1;
+            answers.add(http.sendAsync(streamRequest(), HttpResponse.BodyHandlers.ofString()));
+            await(() -> backends.stream().mapToInt(b -> b.requests().size()).sum() >= sent);
+        }
+        for (CompletableFuture<HttpResponse<String>> a : answers) {
+            assertThat(a.get().body()).startsWith(WHOLE_STREAM);
+        }
+    }
 }
