A group is used again as soon as its silent head has continued

What callers saw: requests were refused (NO_CAPACITY, after 1.2 s) while the only group of their model was sound: its head had been silent for 1.2 s, but stayed excluded for 4 s, also while it sent the events of a running stream. Cause: TargetHealth ended an exclusion for missing answers to probes only by time or by the end of a whole request. Evidence: groupIsUsedAgainWhenItsSilentServerHasContinued failed before with status 503 and passes. Works because the head of an incomplete group sends no events, so that an event shows that the group is complete. Exclusions for failed requests are not ended by an event.

--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
@@ -26,7 +26,7 @@
     /** Creates ratings in which no target is excluded. */
     public TargetHealth() {}
 
-    private record Rating(int failures, Duration exclusion, Moment until) {}
+    private record Rating(int failures, Duration exclusion, Moment until, boolean untilResponse) {}
 
     /**
      * Records a successful request, which ends the exclusion of the target.
@@ -45,26 +45,38 @@
      * @return whether this failure excludes the target
      */
     public boolean recordFailure(String target, Moment now) {
-        Rating old = ratings.getOrDefault(target, new Rating(0, MIN_EXCLUSION.dividedBy(2), now));
+        Rating old = ratings.getOrDefault(target, new Rating(0, MIN_EXCLUSION.dividedBy(2), now, false));
         int failures = old.failures() + 1;
         if (failures < EXCLUSION_FAILURES) {
-            ratings.put(target, new Rating(failures, old.exclusion(), old.until()));
+            ratings.put(target, new Rating(failures, old.exclusion(), old.until(), old.untilResponse()));
             return false;
         }
         Duration doubled = old.exclusion().multipliedBy(2);
         Duration exclusion = doubled.compareTo(MAX_EXCLUSION) > 0 ? MAX_EXCLUSION : doubled;
-        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, exclusion, now.plus(exclusion)));
+        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, exclusion, now.plus(exclusion), false));
         return true;
     }
 
     /**
-     * Excludes a target until a given time.
+     * Excludes a target that does not respond until it responds, or until a given time at the latest.
      *
      * @param target the key of the target
      * @param until the end of the exclusion
      */
     public void excludeUntil(String target, Moment until) {
-        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, MIN_EXCLUSION, until));
+        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, MIN_EXCLUSION, until, true));
+    }
+
+    /**
+     * Records that a target has responded while a request is in progress, which ends its exclusion for not responding.
+     *
+     * @param target the key of the target
+     */
+    public void recordResponse(String target) {
+        Rating r = ratings.get(target);
+        if (r != null && r.untilResponse()) {
+            ratings.remove(target);
+        }
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -223,6 +223,7 @@
 
     /** Records an event of a stream and the interval since the event before it, which is empty for the first one. */
     synchronized void eventReceived(Target target, Optional<Duration> interval, Moment now) {
+        health.recordResponse(target.key());
         stalls.eventReceived(target.key(), interval.isEmpty(), now);
         interval.ifPresent(p -> slowTargetDetector.recordInterval(target.key(), p, now));
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import org.baobabspindle.core.id.InstanceId;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -113,4 +115,29 @@
             assertThat(a.get().body()).startsWith(WHOLE_STREAM);
         }
     }
+
+    @Test
+    void groupIsUsedAgainWhenItsSilentServerHasContinued() throws Exception {
+        CountDownLatch continued = new CountDownLatch(1);
+        startGroups(Streams.RESUMABLE, List.of("d1"), (request, out, socket) -> {
+            RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")) + chunk(event(1)));
+            if (continued.getCount() == 0) {
+                RawBackend.write(out, chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n");
+                return;
+            }
+            Thread.sleep(SILENCE.toMillis());
+            platform.makeResponsive(InstanceId.of("head-d1"));
+            for (int i = 2; i <= 60; i++) {
+                RawBackend.write(out, chunk(event(i)));
+                continued.countDown();
+                Thread.sleep(50);
+            }
+            RawBackend.write(out, "0\r\n\r\n");
+        });
+        CompletableFuture<HttpResponse<String>> first =
+                http.sendAsync(streamRequest(), HttpResponse.BodyHandlers.ofString());
+        continued.await();
+        assertStreamIsWhole();
+        assertThat(first.get().statusCode()).isEqualTo(200);
+    }
 }
