Streams that leave a silent group do not prolong its exclusion

What callers saw: a group whose head had been silent was not used for up to 8 s, twice the intended exclusion. Cause: a call that this entry cancelled to continue the stream elsewhere counted as a failure of the target; each one doubled the exclusion. Evidence: exclusionOfASilentGroupDoesNotGrowWithTheStreamsThatLeaveIt failed before (PT8.114618917S, bound PT6S) and passes. Works because such a call is neutral; the exclusion by the prober stays.

--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -314,7 +314,8 @@
             }
             call = Optional.empty();
             started = answer.started();
-            result = finished ? Dispatcher.CallResult.NEUTRAL : answer.callResult(end);
+            boolean movedElsewhere = end == BackendCall.End.CANCELLED && progress.retryGranted();
+            result = finished || movedElsewhere ? Dispatcher.CallResult.NEUTRAL : answer.callResult(end);
             step = nextStepOrFail(end, detail, now);
         }
         from.destination().ended(started, result, now);
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -162,6 +162,11 @@
         return retryGranted;
     }
 
+    /** Returns whether the retry after the current call has been acquired already. */
+    boolean retryGranted() {
+        return retryGranted;
+    }
+
     private boolean hasFreeTargetElsewhere(Moment now) {
         return context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), triedTargets, now);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
@@ -27,7 +27,7 @@
     static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
 
     /** How long a group with an unresponsive member is excluded; its keeper has dissolved it by then. */
-    private static final Duration EXCLUSION_TIME = Duration.ofSeconds(4);
+    static final Duration EXCLUSION_TIME = Duration.ofSeconds(4);
 
     /** The servers outside a group that are probed together with it. */
     private static final int MAX_REFERENCES = 2;
--- a/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.baobabspindle.core.id.InstanceId;
 import org.junit.jupiter.api.Test;
 
@@ -140,4 +141,50 @@
         assertStreamIsWhole();
         assertThat(first.get().statusCode()).isEqualTo(200);
     }
+
+    /** Calls that this entry cancels to continue at another group are no failures of the silent one. */
+    @Test
+    void exclusionOfASilentGroupDoesNotGrowWithTheStreamsThatLeaveIt() throws Exception {
+        int streams = 10;
+        AtomicInteger sent = new AtomicInteger();
+        AtomicInteger sentToFirst = new AtomicInteger();
+        AtomicInteger left = new AtomicInteger();
+        startGroups(Streams.RESUMABLE, List.of("d1", "d2"), (request, out, socket) -> {
+            boolean first = RawBackend.header(request, "Expect").equals("head-d1");
+            boolean resumed = !RawBackend.header(request, "Last-Event-Id").isEmpty();
+            RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")));
+            if (resumed) {
+                left.incrementAndGet();
+                RawBackend.write(out, chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n");
+                return;
+            }
+            RawBackend.write(out, chunk(event(1)));
+            if (sent.incrementAndGet() <= streams) {
+                sentToFirst.addAndGet(first ? 1 : 0);
+                await(() -> sent.get() >= streams);
+                if (first) {
+                    RawBackend.awaitClose(socket);
+                }
+            } else if (first) {
+                sentToFirst.incrementAndGet();
+            }
+            RawBackend.write(out, chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n");
+        });
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < streams; i++) {
+            answers.add(http.sendAsync(streamRequest(), HttpResponse.BodyHandlers.ofString()));
+        }
+        for (CompletableFuture<HttpResponse<String>> a : answers) {
+            assertThat(a.get().body()).isEqualTo(WHOLE_STREAM);
+        }
+        assertThat(left.get()).isAtLeast(3);
+        int before = sentToFirst.get();
+        long startedAt = System.nanoTime();
+        while (sentToFirst.get() == before) {
+            assertStreamIsWhole();
+            Thread.sleep(50);
+        }
+        assertThat(Duration.ofNanos(System.nanoTime() - startedAt))
+                .isLessThan(SuspectGroupProber.EXCLUSION_TIME.plusSeconds(2));
+    }
 }
