Requests are not cut off because a member is no longer listed or its model was removed

What callers saw: streams of a group that still worked were cut off when one of its members left without notice, or when a configuration removed the model or changed its group size. Cause: GroupDissolver let a head finish its requests only if a member drained or the head itself was not listed; in any other case it ordered the head to leave at once, which takes effect immediately. A server that leaves without notice goes on serving after it has left the list. Evidence: requestsAreNotCutOffWhenMemberIsNoLongerListed and requestsAreNotCutOffWhenModelIsRemovedFromConfiguration failed before (Leave where Close was expected) and pass, with the other 33 tests of formation, conversion, staging and catalog that were run. A member that is known to be lost still makes the head leave at once.

--- a/core/src/main/java/org/baobabspindle/core/formation/GroupDissolver.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupDissolver.java
@@ -18,8 +18,11 @@
     /** How long a head may finish its requests when a member drains; engines wait as long before they stop. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(10);
 
-    /** How long a head that is no longer listed may finish its requests; most requests complete within this time. */
-    private static final Duration UNLISTED_HEAD_CLOSE_TIMEOUT = Duration.ofSeconds(3);
+    /**
+     * How long a head may finish its requests when it or a member is no longer listed; a server that leaves without
+     * notice serves as long, and most requests complete within this time.
+     */
+    private static final Duration UNLISTED_CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
     private final SentOrders sentOrders;
     private final Map<GroupKey, Moment> closingSince = new HashMap<>();
@@ -43,12 +46,13 @@
         }
         boolean memberLost =
                 g.members().values().stream().anyMatch(s -> view.lost().contains(s.lifetime()));
-        boolean memberDraining = g.members().values().stream().anyMatch(s -> !s.ready());
-        if (state.mayHoldRequests() && memberDraining && !memberLost && allMembersListed(g, view)) {
+        if (state.mayHoldRequests() && !memberLost) {
+            boolean allListed = allMembersListed(g, view);
             Moment since = closingSince.computeIfAbsent(g.key(), k -> now);
-            if (now.isBefore(since.plus(CLOSE_TIMEOUT))) {
+            if (now.isBefore(since.plus(allListed ? CLOSE_TIMEOUT : UNLISTED_CLOSE_TIMEOUT))) {
                 if (state == MemberState.OPEN) {
-                    sentOrders.addIfDue(new FormationAction.Close(head, g.key(), "a member is draining"), now, actions);
+                    String reason = allListed ? "a member is draining" : "a member is no longer listed";
+                    sentOrders.addIfDue(new FormationAction.Close(head, g.key(), reason), now, actions);
                 }
                 return true;
             }
@@ -73,7 +77,7 @@
         }
         BackendServer head = headByName.get();
         Moment since = closingSince.computeIfAbsent(g.key(), k -> now);
-        if (!view.lost().contains(head.lifetime()) && now.isBefore(since.plus(UNLISTED_HEAD_CLOSE_TIMEOUT))) {
+        if (!view.lost().contains(head.lifetime()) && now.isBefore(since.plus(UNLISTED_CLOSE_TIMEOUT))) {
             sentOrders.addIfDue(new FormationAction.Close(head, g.key(), "the head is no longer listed"), now, actions);
             return true;
         }
--- a/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/FormationTests.java
@@ -176,6 +176,25 @@
                     .containsExactly(FormationAction.Join.class, FormationAction.Join.class);
         }
 
+        /** A member that leaves without notice serves for a while after it is no longer listed. */
+        @Test
+        void requestsAreNotCutOffWhenMemberIsNoLongerListed() {
+            List<BackendServer> engines = group(Engines.LARGE, MemberState.OPEN, MemberState.READY);
+            List<BackendServer> listed = engines.subList(0, 3);
+            decide(engines, at(-1_000));
+            assertThat(types(decide(listed, at(0)))).containsExactly(FormationAction.Close.class);
+            assertThat(types(decide(listed, at(4_000)))).containsExactly(FormationAction.Leave.class);
+        }
+
+        @Test
+        void requestsAreNotCutOffWhenModelIsRemovedFromConfiguration() {
+            List<BackendServer> engines = group(Engines.SMALL, MemberState.OPEN, MemberState.READY);
+            decide(engines, at(-1_000));
+            profile =
+                    new EngineProfile(12, 7.8, 0.134, 45_900, 5, 5, 7, Duration.ofMillis(300), List.of(Engines.LARGE));
+            assertThat(types(decide(engines, at(0)))).containsExactly(FormationAction.Close.class);
+        }
+
         @Test
         void ordersUnlistedLostHeadToLeaveAtOnce() {
             List<BackendServer> engines = group(Engines.SMALL, MemberState.OPEN, MemberState.READY);
