Tests of silent servers that are taken for lost, known red

GroupKeeperTests#doesNotDissolveGroupWhoseHeadIsSilentForASecond: reports of two entries, or one probe of 0.2 s without an answer, mark an engine lost at once (GroupKeeper.reportSuspects), about 0.5 s after its last event; its group's head is then ordered to leave under its running streams. SilentServerTests#streamIsNotCutOffWhenTheOtherServerRefusesIt: a free slot is all that is asked before the call to a silent server is cancelled. If the other server refuses the stream, the silent one is never used again for it (tried, excluded for 4 s): cut off after 3.2 s.

--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -364,5 +364,18 @@
             tick(HEAD_CLOSE_TIMEOUT.plus(SETTLED));
             assertThat(leaveOrders()).isEqualTo(2);
         }
+    /** Two entries find the head unresponsive while it is silent; it would cut off its streams on the order to leave. */
+    @Test
+    void doesNotDissolveGroupWhoseHeadIsSilentForASecond() throws Exception {
+        engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
+        tick(Duration.ZERO);
+        platform.makeUnresponsive(HEAD);
+        keeper.reportSuspects(InstanceId.of("entry-1"), engines.subList(0, 1));
+        keeper.reportSuspects(InstanceId.of("entry-2"), engines.subList(0, 1));
+        tick(Duration.ZERO);
+        assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
+        platform.makeResponsive(HEAD);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -117,6 +118,22 @@
         }
     }
 
+    /** The server of the first call serves the rest of the stream, once it continues. */
+    @Test
+    void streamIsNotCutOffWhenTheOtherServerRefusesIt() throws Exception {
+        Set<String> heads = ConcurrentHashMap.newKeySet();
+        startGroups(Streams.RESUMABLE, List.of("d1", "d2"), (request, out, socket) -> {
+            String head = RawBackend.header(request, "Expect");
+            if (heads.isEmpty() || heads.contains(head)) {
+                heads.add(head);
+                SILENT_ONCE.answer(request, out, socket);
+            } else {
+                RawBackend.write(out, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        assertStreamIsWhole();
+    }
+
     @Test
     void groupIsUsedAgainWhenItsSilentServerHasContinued() throws Exception {
         CountDownLatch continued = new CountDownLatch(1);
