A group is not dissolved because one order could not be sent

What callers saw: streams of a sound group were cut off when an order of its keeper could not be sent within 0.5 s: a lost packet of the handshake, or all 64 connections to the head in use. Cause: GroupKeeper.orderAnswered marked the engine lost for 4 s on the answer UNREACHABLE, without a probe or a second observer, and the head of its open group was ordered to leave. Evidence: doesNotDissolveGroupBecauseAnOrderCouldNotBeSent failed before (Open, Stage, Leave) and passes. Works because the engine is probed as after the report of an entry, and counts as lost only without an answer.

--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -331,9 +331,9 @@
                     && (answer == OrderAnswer.STALE || answer == OrderAnswer.OTHER_INSTANCE)) {
                 formation.joinRefused(action.key());
             }
-            if (unreachable) {
-                lostUntil.put(action.server().lifetime(), now.plus(LOST_DURATION));
-            }
+        }
+        if (unreachable) {
+            reportSuspects(settings.instance(), List.of(action.server()));
         }
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -378,4 +378,16 @@
         tick(SETTLED);
         assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
     }
+
+    /** The order cannot be sent because a packet is lost or all connections are in use; the engine responds to probes. */
+    @Test
+    void doesNotDissolveGroupBecauseAnOrderCouldNotBeSent() {
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.UNREACHABLE));
+        tick(Duration.ZERO);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).contains(EngineOrder.Open.class);
+        engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
+    }
 }
