--- a/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CrashGuard.java
@@ -17,7 +17,6 @@
 import org.baobabspindle.core.crash.RequestQuarantine;
 import org.baobabspindle.core.crash.SuspectRequest;
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.fleet.FleetService;
 import org.baobabspindle.core.fleet.Liveness;
 import org.baobabspindle.core.id.PromptPart;
 import org.baobabspindle.core.time.Moment;
@@ -50,6 +49,7 @@
     private volatile CrashPeers peers = CrashPeers.NONE;
     private volatile boolean investigating;
     private volatile boolean tracking;
+    private volatile boolean partitioned;
 
     CrashGuard(
             FleetTable fleet,
@@ -66,6 +66,20 @@
         this.random = random;
     }
 
+    /** This entry is partitioned from the backend servers; that they broke off requests shows nothing until it ends. */
+    void partitionBegan() {
+        synchronized (this) {
+            partitioned = true;
+            detector.forgetUncorroborated();
+            investigating = !detector.isEmpty();
+        }
+    }
+
+    /** This entry reaches the backend servers again. */
+    void partitionEnded() {
+        partitioned = false;
+    }
+
     void peers(CrashPeers newPeers) {
         peers = newPeers;
     }
@@ -219,15 +233,15 @@
 
     /**
      * Records that a server broke a request. A server that is draining or not listed is shutting down as planned and is
-     * not suspected.
+     * not suspected, nor is one that this entry does not reach.
      *
      * @param answering whether the server had begun to answer the request
      */
     void requestBroken(SuspectRequest request, boolean answering, String requestId, BackendServer server, Moment now) {
-        boolean serving = fleet.isServing(server.lifetime());
+        boolean suspected = !partitioned && fleet.isServing(server.lifetime());
         log.write(
                 "broken-off",
-                serving ? "server will be probed" : "server was draining",
+                suspected ? "server will be probed" : "server was draining or cannot be reached",
                 "request",
                 requestId,
                 "fingerprint",
@@ -241,7 +255,7 @@
                 "born",
                 server.bornMillis());
         metrics.brokenRequests();
-        if (!serving) {
+        if (!suspected) {
             return;
         }
         synchronized (this) {
@@ -300,7 +314,7 @@
     }
 
     private CompletableFuture<Liveness> liveness(BackendServer server) {
-        return engines.probeLiveness(server, healthPath(server), PROBE_TIMEOUT);
+        return engines.probeLiveness(server, fleet.healthPath(server), PROBE_TIMEOUT);
     }
 
     private synchronized boolean isCorroborated(BackendServer server) {
@@ -335,13 +349,6 @@
         reportCrashes(proven, "found by a probe");
     }
 
-    private String healthPath(BackendServer server) {
-        return fleet.configuration()
-                .flatMap(c -> c.service(server.service()))
-                .map(FleetService::healthPath)
-                .orElse("/");
-    }
-
     private void reportCrashes(Map<Crash, Moment> proven, String cause) {
         if (proven.isEmpty()) {
             return;
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import org.baobabspindle.core.dispatch.LoadTracker;
@@ -34,6 +35,7 @@
     private final FleetTable fleet;
     private final TargetChooser chooser;
     private final IntSupplier entryCount;
+    private final BooleanSupplier partitioned;
     private final GatewaySettings.Bounds bounds;
     private final LoadTracker loads = new LoadTracker();
     private final TargetHealth health = new TargetHealth();
@@ -53,10 +55,12 @@
             FleetTable fleet,
             TargetChooser chooser,
             IntSupplier entries,
+            BooleanSupplier partitioned,
             GatewaySettings.Bounds bounds,
             Executor workers) {
         this.rateLimits = new ServerRateLimits(self);
         this.entryCount = entries;
+        this.partitioned = partitioned;
         this.workers = workers;
         this.fleet = fleet;
         this.chooser = chooser;
@@ -169,7 +173,11 @@
                 .anyMatch(t -> totals.apply(t.key()) < t.slots() && isUsable(t, avoid, now));
     }
 
-    /** Returns the expected wait of a new request of a pool; days if the pool has no target. */
+    /**
+     * Returns the expected wait of a new request of a pool; days if the pool has no target.
+     *
+     * @param entries the number of entries that send requests to the targets
+     */
     synchronized Duration predictedWait(TargetPool pool, int entries, Moment now) {
         List<Target> targets = fleet.catalog().targets(pool);
         RequestQueue<Ticket> queue = queues.get(pool);
@@ -215,6 +223,7 @@
 
     /** Records an event of a stream and the interval since the event before it, which is empty for the first one. */
     synchronized void eventReceived(Target target, Optional<Duration> interval, Moment now) {
+        health.recordResponse(target.key());
         stalls.eventReceived(target.key(), interval.isEmpty(), now);
         interval.ifPresent(p -> slowTargetDetector.recordInterval(target.key(), p, now));
     }
@@ -252,7 +261,7 @@
             }
             if (result == CallResult.SUCCEEDED) {
                 health.recordSuccess(target.key());
-            } else if (result == CallResult.FAILED) {
+            } else if (result == CallResult.FAILED && !partitioned.getAsBoolean()) {
                 health.recordFailure(target.key(), now);
             }
         }
@@ -279,6 +288,14 @@
         rateLimits.updateEntries(entries, now);
     }
 
+    /** Makes all targets usable again after a partition of this entry, whose failures show nothing about them. */
+    void partitionEnded(Moment now) {
+        synchronized (this) {
+            health.reset();
+        }
+        drain(now);
+    }
+
     synchronized void exclude(String target, Moment until) {
         health.excludeUntil(target, until);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
@@ -39,8 +40,10 @@
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
     private final IntSupplier entryCount;
+    private final ToIntFunction<Moment> dispatchingEntryCount;
     private final Duration keyLifetime;
     private final ServerNotices notices;
+    private final ReachabilityMonitor reachability;
     private final CrashGuard quarantine;
     private final EntryRelay relay;
     private final ResponseBuffer.ByteBudget bufferBudget = new ResponseBuffer.ByteBudget(MAX_BUFFERED_BYTES);
@@ -52,6 +55,7 @@
             Dispatcher dispatcher,
             HttpClient client,
             ServerNotices notices,
+            ReachabilityMonitor reachability,
             CrashGuard quarantine,
             EntryRelay relay,
             ForwardingHeaders names,
@@ -60,12 +64,14 @@
             GatewayMetrics metrics,
             RandomGenerator random,
             IntSupplier entries,
+            ToIntFunction<Moment> dispatchingEntries,
             GatewaySettings.Bounds bounds) {
         this.clock = clock;
         this.fleet = fleet;
         this.dispatcher = dispatcher;
         this.client = client;
         this.notices = notices;
+        this.reachability = reachability;
         this.quarantine = quarantine;
         this.relay = relay;
         this.headerNames = names;
@@ -74,6 +80,7 @@
         this.metrics = metrics;
         this.random = random;
         this.entryCount = entries;
+        this.dispatchingEntryCount = dispatchingEntries;
         this.keyLifetime = bounds.maxRevocationDelay().minus(KEY_MARGIN);
     }
 
@@ -97,6 +104,10 @@
         return notices;
     }
 
+    ReachabilityMonitor reachability() {
+        return reachability;
+    }
+
     CrashGuard quarantine() {
         return quarantine;
     }
@@ -130,6 +141,11 @@
         return Math.max(1, entryCount.getAsInt());
     }
 
+    /** Returns the number of entries that send requests to backend servers, at least 1. */
+    int dispatchingEntryCount(Moment now) {
+        return dispatchingEntryCount.applyAsInt(now);
+    }
+
     /** Returns the maximum age of the configuration at which API keys are accepted. */
     Duration keyLifetime() {
         return keyLifetime;
@@ -139,11 +155,17 @@
         active.add(exchange);
     }
 
-    void finished(CallerExchange exchange, String outcome) {
-        active.remove(exchange);
+    /** Records the outcome of a request whose response may still have to be written. */
+    void finished(String outcome) {
         metrics.finished(outcome);
     }
 
+    /** Records that the response of a request was written completely or aborted. */
+    void closed(CallerExchange exchange) {
+        active.remove(exchange);
+    }
+
+    /** Returns the requests that were read completely and whose responses are not written completely. */
     Set<CallerExchange> active() {
         return active;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
+import org.baobabspindle.core.dispatch.Reachability;
 import org.baobabspindle.core.dispatch.ServerRateLimits;
 import org.baobabspindle.core.dispatch.TargetChooser;
 import org.baobabspindle.core.fleet.BackendServer;
@@ -32,6 +33,7 @@
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
+import org.baobabspindle.port.ForwardingHeaders;
 import org.baobabspindle.port.GatewaySettings;
 import org.baobabspindle.port.Platform;
 import org.baobabspindle.port.PlatformStore;
@@ -44,7 +46,7 @@
  */
 public final class GatewayNode {
     /** Threads for callers, backend servers and the store; none of them blocks. */
-    private static final int MAX_THREADS = 16;
+    private static final int MAX_THREADS = 17;
 
     /** Threads for messages between entries. */
     private static final int PEER_WORKERS = 4;
@@ -75,25 +77,13 @@
     /** Subtracted from the grace period, so that the process exits before it is killed. */
     private static final Duration GRACE_PERIOD_MARGIN = Duration.ofMillis(400);
 
-    private static final FeedPoller.PollIntervals ENTRIES_POLL_INTERVALS =
-            new FeedPoller.PollIntervals(Duration.ofSeconds(15), Duration.ofMillis(300));
-
-    private static final BackendLink CONNECTED = new BackendLink() {
-        @Override
-        public boolean isPartitioned() {
-            return false;
-        }
+    /** How long a stopping entry waits for its last responses to be written; part of the margin. */
+    private static final Duration LAST_WRITE_TIMEOUT = Duration.ofMillis(200);
 
-        @Override
-        public boolean othersFail(BackendServer server) {
-            return false;
-        }
+    private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
 
-        @Override
-        public boolean heardSince(Moment since) {
-            return true;
-        }
-    };
+    private static final FeedPoller.PollIntervals ENTRIES_POLL_INTERVALS =
+            new FeedPoller.PollIntervals(Duration.ofSeconds(15), Duration.ofMillis(300));
 
     private final GatewayClock clock = new GatewayClock();
     private final EventLog log = new EventLog();
@@ -102,11 +92,15 @@
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> daemonThread(r, "timer"));
     private final ThreadPoolExecutor peerWorkers =
             (ThreadPoolExecutor) Executors.newFixedThreadPool(PEER_WORKERS, r -> daemonThread(r, "peer-worker"));
+    private final EntryRelay.Surroundings surroundings;
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
+    private final HttpClient probeClient;
     private final PlatformStore store;
     private final FleetTable fleet;
+    private final ReachabilityMonitor reachability = new ReachabilityMonitor(clock, log);
+    private final ReachabilityProber reachabilityProber;
     private final ShutdownState shutdown;
     private final EntryAnnouncement self;
     private final PeerMesh mesh;
@@ -122,6 +116,9 @@
     private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
+    /** Whether this entry was partitioned from the backend servers at the last check. */
+    private boolean wasPartitioned;
+
     private GatewayNode(Platform platform, PlanPolicy policy, UnaryOperator<EntryRelay.Surroundings> adaptation)
             throws Exception {
         settings = platform.settings();
@@ -129,13 +126,15 @@
         threads.setName("gateway");
         threads.setDaemon(true);
         client = GatewayServer.startClient(threads);
+        probeClient = GatewayServer.startProbeClient(threads);
         RecentPages recent = new RecentPages();
         store = new RelayedStore(
                 platform.store(client), this::readsFromFollowers, this::readFromFollower, recent, clock);
         fleet = new FleetTable(platform.decoder(), log);
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
-        mesh = new PeerMesh(self, peerWorkers, traffic, log);
+        mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, log);
+        surroundings = adaptation.apply(new EntryRelay.Surroundings(reachability, mesh));
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
         Dispatcher dispatcher = new Dispatcher(
@@ -143,39 +142,73 @@
                 fleet,
                 new TargetChooser(settings.zone(), random.split()),
                 mesh::entryCount,
+                this::isPartitioned,
                 settings.bounds(),
                 threads);
         ServerNotices notices = new ServerNotices(clock, log, noticeListener(dispatcher));
-        EnginePort engines = platform.engines(client, notices::probeResponseReceived);
+        EnginePort engines = observedEngines(platform, notices);
+        reachabilityProber = new ReachabilityProber(
+                reachability,
+                fleet,
+                platform.engines(probeClient, notices::probeResponseReceived),
+                this::reachabilityChanged);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
-        context = new GatewayContext(
+        context = createContext(dispatcher, notices, platform.headers(), random.split());
+        Duration timeToLive =
+                Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
+        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
+        keeper = new GroupKeeper(engines, settings, policy, lease, this::isPartitioned, clock, log, metrics);
+        gossip = new GatewayGossip(
+                self,
+                context,
+                mesh,
+                keeper,
+                this::isReady,
+                this::fleetChanged,
+                notices,
+                recent,
+                this::isFollower,
+                this::isPartitioned);
+        suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
+        gossip.setSuspicionListener(suspectProber::receiveSuspects);
+        crashGuard.peers(gossip);
+        server = new GatewayServer(settings, threads);
+        server.start(new GatewayHandler(
+                context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
+    }
+
+    private GatewayContext createContext(
+            Dispatcher dispatcher, ServerNotices notices, ForwardingHeaders headers, SplittableRandom random) {
+        return new GatewayContext(
                 clock,
                 fleet,
                 dispatcher,
                 client,
                 notices,
+                reachability,
                 crashGuard,
-                new EntryRelay(
-                        adaptation.apply(new EntryRelay.Surroundings(CONNECTED, mesh)), new PeerSecret(self.secret())),
-                platform.headers(),
+                new EntryRelay(surroundings, new PeerSecret(self.secret())),
+                headers,
                 shutdown,
                 log,
                 metrics,
-                new SynchronizedRandom(random.split()),
+                new SynchronizedRandom(random),
                 mesh::entryCount,
+                mesh::dispatchingEntryCount,
                 settings.bounds());
-        Duration timeToLive =
-                Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
-        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
-        gossip = new GatewayGossip(
-                self, context, mesh, keeper, this::isReady, this::fleetChanged, notices, recent, this::isFollower);
-        suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
-        gossip.setSuspicionListener(suspectProber::receiveSuspects);
-        crashGuard.peers(gossip);
-        server = new GatewayServer(settings, threads);
-        server.start(new GatewayHandler(
-                context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
+    }
+
+    private EnginePort observedEngines(Platform platform, ServerNotices notices) {
+        return new ObservedEnginePort(platform.engines(client, notices::probeResponseReceived), reachability);
+    }
+
+    private void reachabilityChanged(Reachability state) {
+        if (state == Reachability.PARTITIONED) {
+            crashGuard.partitionBegan();
+        } else {
+            crashGuard.partitionEnded();
+            context.dispatcher().partitionEnded(clock.now());
+        }
     }
 
     private ServerNotices.Listener noticeListener(Dispatcher dispatcher) {
@@ -256,6 +289,7 @@
     void shutDown() throws Exception {
         timer.shutdownNow();
         server.stop();
+        probeClient.stop();
         client.stop();
         peerServer.close();
         mesh.close();
@@ -329,8 +363,10 @@
         });
         announce();
         scheduleEvery(TICK_INTERVAL, () -> context.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, () -> reachabilityProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, this::checkPartition);
         scheduleEvery(KEEPER_INTERVAL, this::runKeeper);
         scheduleEvery(SLOW_TARGET_CHECK_INTERVAL, this::logSlowTargets);
         scheduleEvery(LEASE_RENEWAL_INTERVAL, this::renewLease);
@@ -424,7 +460,10 @@
         Moment now = clock.now();
         fleet.applyDueServerChanges(now);
         Optional<FleetConfiguration> configuration = fleet.configuration();
-        if (configuration.isEmpty() || shutdown.inProgress() || lease.term(now).isEmpty()) {
+        if (configuration.isEmpty()
+                || shutdown.inProgress()
+                || isPartitioned()
+                || lease.term(now).isEmpty()) {
             return;
         }
         keeper.tick(
@@ -433,7 +472,7 @@
                         fleet.servers(),
                         mesh.totalDemand(context.dispatcher().demand(now), now),
                         mesh.stagingOfPeers(now),
-                        KeeperRanks.share(mesh.rankAmongAlive(now), mesh.aliveEntryCount(now))),
+                        KeeperRanks.share(mesh.rankAmongCandidates(now), mesh.candidateCount(now))),
                 now);
     }
 
@@ -455,16 +494,34 @@
         }
     }
 
-    private void renewLease() {
+    private synchronized void renewLease() {
         if (!fleet.isComplete() || shutdown.inProgress()) {
             return;
         }
         Moment now = clock.now();
         candidacy
-                .decide(mesh.rankAmongAlive(now), lease.holdsAnyPartition(), now)
+                .decide(mesh.rankAmongCandidates(now), lease.holdsAnyPartition(), isPartitioned(), now)
                 .apply(lease);
     }
 
+    /**
+     * Releases or requests the lease and informs the other entries at once when a partition from the backend servers
+     * begins or ends.
+     */
+    private void checkPartition() {
+        boolean partitionedNow = isPartitioned();
+        if (partitionedNow != wasPartitioned) {
+            wasPartitioned = partitionedNow;
+            keeper.discardSuspicions();
+            renewLease();
+            gossip.exchangeStateWithAll();
+        }
+    }
+
+    private boolean isPartitioned() {
+        return surroundings.link().isPartitioned();
+    }
+
     private boolean isReady() {
         return fleet.isComplete() && announced && !shutdown.inProgress();
     }
@@ -475,7 +532,7 @@
 
     /**
      * Shuts the entry down: releases the lease, reports to peers that it is not ready, keeps serving requests until
-     * callers have left, and returns before the grace period ends.
+     * callers have left, and returns before the grace period ends. Requests that are then still in progress are refused.
      */
     void stop() {
         Moment startedAt = clock.now();
@@ -483,22 +540,41 @@
         log.write("stop", "shutting down", "active", context.active().size());
         lease.release();
         gossip.exchangeState();
-        Duration maxDuration = settings.bounds().gracePeriod().minus(GRACE_PERIOD_MARGIN);
-        Moment lastActive = startedAt;
         try {
-            while (clock.now().since(startedAt).compareTo(maxDuration) < 0) {
-                Moment now = clock.now();
-                if (!context.active().isEmpty() || !shutdown.refusesNewRequests(false, now)) {
-                    lastActive = now;
-                }
-                if (now.since(lastActive).compareTo(IDLE_BEFORE_EXIT) > 0) {
-                    break;
-                }
-                TimeUnit.MILLISECONDS.sleep(50);
-            }
+            serveUntilCallersHaveLeft(startedAt);
+            int unfinished = context.active().size();
+            context.active().forEach(x -> x.endWithProcess(clock.now()));
+            awaitLastWrites(clock.now());
+            log.write(
+                    "stop",
+                    "done",
+                    "active",
+                    unfinished,
+                    "unwritten",
+                    context.active().size());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.write("stop", "done", "active", context.active().size());
+    }
+
+    private void serveUntilCallersHaveLeft(Moment startedAt) throws InterruptedException {
+        Duration maxDuration = settings.bounds().gracePeriod().minus(GRACE_PERIOD_MARGIN);
+        Moment lastActive = startedAt;
+        while (clock.now().since(startedAt).compareTo(maxDuration) < 0) {
+            Moment now = clock.now();
+            if (!context.active().isEmpty() || !shutdown.refusesNewRequests(false, now)) {
+                lastActive = now;
+            }
+            if (now.since(lastActive).compareTo(IDLE_BEFORE_EXIT) > 0) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL.toMillis());
+        }
+    }
+
+    private void awaitLastWrites(Moment since) throws InterruptedException {
+        while (!context.active().isEmpty() && clock.now().since(since).compareTo(LAST_WRITE_TIMEOUT) < 0) {
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL.toMillis());
+        }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -179,11 +179,17 @@
                 || (isRepeatable()
                         && attempts + 1 < admission.maxAttempts()
                         && isAllowed(path, now)
+                        && admission.checkKey(now).isEmpty()
                         && (path == Path.RELAY || hasFreeTargetElsewhere(now))
                         && takeFromBudget(now));
         return retryGranted;
     }
 
+    /** Returns whether the retry after the current call has been acquired already. */
+    boolean retryGranted() {
+        return retryGranted;
+    }
+
     private boolean hasFreeTargetElsewhere(Moment now) {
         return context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), triedTargets, now);
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -20,7 +21,10 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.Liveness;
@@ -66,17 +70,28 @@
             "Last-Event-Id",
             "Fault-At");
 
-    private final FleetConfiguration configuration;
+    private volatile FleetConfiguration configuration;
     private final List<BackendServer> servers;
     private final List<Integer> ports = new ArrayList<>();
     private final Set<Feed> failingFeeds = ConcurrentHashMap.newKeySet();
     private final Set<InstanceId> unresponsive = ConcurrentHashMap.newKeySet();
     private final Queue<FeedRecord> serverRecords = new ConcurrentLinkedQueue<>();
+    private final Queue<FeedRecord> configurationRecords = new ConcurrentLinkedQueue<>();
     private final Queue<SentOrder> orders = new ConcurrentLinkedQueue<>();
     private volatile CompletableFuture<OrderAnswer> orderAnswer =
             CompletableFuture.completedFuture(OrderAnswer.REFUSED);
+    private final Map<InstanceId, Integer> probes = new ConcurrentHashMap<>();
+    private volatile Optional<CompletableFuture<Optional<EngineReport>>> probeAnswer = Optional.empty();
     private volatile Set<Integer> partitions = Set.of();
     private volatile Optional<CompletableFuture<LeaseGrant>> renewals = Optional.empty();
+    private volatile Optional<CompletableFuture<Void>> releases = Optional.empty();
+    private volatile Optional<CompletableFuture<Long>> terms = Optional.empty();
+    private final AtomicInteger renewalCount = new AtomicInteger();
+    private final AtomicInteger releaseCount = new AtomicInteger();
+
+    /** The member that holds all partitions, among the entries that share the store; empty if there is none. */
+    private final AtomicReference<String> leaseHolder;
+
     private final InstanceId instance;
     private final List<FeedRecord> entries;
     private final AtomicLong era;
@@ -89,12 +104,33 @@
     record SentOrder(InstanceId engine, Class<? extends EngineOrder> kind) {}
 
     FakePlatform(FleetConfiguration configuration, List<BackendServer> servers) throws IOException {
-        this("entry", configuration, servers, new CopyOnWriteArrayList<>(), new AtomicLong(1));
+        this(
+                "entry",
+                configuration,
+                servers,
+                new CopyOnWriteArrayList<>(),
+                new AtomicLong(1),
+                new AtomicReference<>(""));
     }
 
     /** Creates the platform of another entry, which shares the store with the first one. */
     FakePlatform(String instance, FakePlatform first) throws IOException {
-        this(instance, first.configuration, first.servers, first.entries, first.era);
+        this(instance, first, UnaryOperator.identity());
+    }
+
+    /**
+     * Creates the platform of another entry, which shares the store with the first one.
+     *
+     * @param listing returns how a backend server is listed to the entry
+     */
+    FakePlatform(String instance, FakePlatform first, UnaryOperator<BackendServer> listing) throws IOException {
+        this(
+                instance,
+                first.configuration,
+                first.servers.stream().map(listing).toList(),
+                first.entries,
+                first.era,
+                first.leaseHolder);
     }
 
     private FakePlatform(
@@ -102,8 +138,10 @@
             FleetConfiguration configuration,
             List<BackendServer> servers,
             List<FeedRecord> entries,
-            AtomicLong era)
+            AtomicLong era,
+            AtomicReference<String> leaseHolder)
             throws IOException {
+        this.leaseHolder = leaseHolder;
         this.era = era;
         this.instance = InstanceId.of(instance);
         this.entries = entries;
@@ -145,6 +183,12 @@
         }
     }
 
+    /** Publishes a later version of the configuration. */
+    void configure(FleetConfiguration later) {
+        configuration = later;
+        configurationRecords.add(new FeedRecord("configuration", Optional.of(new byte[1])));
+    }
+
     /** Removes a backend server from the list. */
     void unlist(String id) {
         serverRecords.add(new FeedRecord(id, Optional.empty()));
@@ -188,7 +232,7 @@
         return entries.stream().anyMatch(r -> r.key().equals(entry));
     }
 
-    /** Returns the last announcement of an entry. */
+    /** Returns the latest announcement of an entry in the store. */
     EntryAnnouncement announcement(String entry) {
         return entries.stream()
                 .filter(r -> r.key().equals(entry))
@@ -202,6 +246,21 @@
         unresponsive.add(server);
     }
 
+    /** Makes all later probes of the state of engines complete with a future. */
+    void answerProbes(CompletableFuture<Optional<EngineReport>> answer) {
+        probeAnswer = Optional.of(answer);
+    }
+
+    /** Returns how many times the state of an engine was probed. */
+    int probesOf(InstanceId engine) {
+        return probes.getOrDefault(engine, 0);
+    }
+
+    /** Makes a backend server respond to probes again. */
+    void makeResponsive(InstanceId server) {
+        unresponsive.remove(server);
+    }
+
     /** Grants the lease on these partitions of the fabric domains from now on. */
     void grantPartitions(Set<Integer> granted) {
         partitions = Set.copyOf(granted);
@@ -212,6 +271,34 @@
         renewals = Optional.of(answer);
     }
 
+    /** Makes all later releases of leases complete with a future. */
+    void answerReleases(CompletableFuture<Void> answer) {
+        releases = Optional.of(answer);
+    }
+
+    /** Makes all later requests for terms complete with a future. */
+    void answerTerms(CompletableFuture<Long> answer) {
+        terms = Optional.of(answer);
+    }
+
+    /** Returns how many renewals of leases were requested. */
+    int renewalCount() {
+        return renewalCount.get();
+    }
+
+    /** Returns how many releases of leases were requested. */
+    int releaseCount() {
+        return releaseCount.get();
+    }
+
+    /**
+     * Returns the entry that was granted the partitions first and has not released them, among the entries that share
+     * the store; empty if there is none. Grants do not expire.
+     */
+    String leaseHolder() {
+        return leaseHolder.get().replaceFirst("\\W.*", "");
+    }
+
     /** Makes all later orders to engines complete with a future. */
     void answerOrders(CompletableFuture<OrderAnswer> answer) {
         orderAnswer = answer;
@@ -318,7 +405,12 @@
             return answer(FeedPage.ofExpired());
         }
         List<FeedRecord> records = new ArrayList<>();
-        FeedRecord next = feed == Feed.BACKEND_SERVERS ? serverRecords.poll() : null;
+        FeedRecord next =
+                switch (feed) {
+                    case CONFIGURATION -> configurationRecords.poll();
+                    case BACKEND_SERVERS -> serverRecords.poll();
+                    default -> null;
+                };
         if (next != null) {
             records.add(next);
         }
@@ -340,17 +432,22 @@
 
     @Override
     public CompletableFuture<LeaseGrant> renewLease(String member, Duration timeToLive, long generation) {
-        return renewals.orElseGet(() -> answer(new LeaseGrant(era.get(), 1, partitions)));
+        renewalCount.incrementAndGet();
+        boolean holds =
+                leaseHolder.compareAndSet("", member) || leaseHolder.get().equals(member);
+        return renewals.orElseGet(() -> answer(new LeaseGrant(era.get(), 1, holds ? partitions : Set.of())));
     }
 
     @Override
     public CompletableFuture<Void> releaseLease(String member) {
-        return answer(null);
+        releaseCount.incrementAndGet();
+        leaseHolder.compareAndSet(member, "");
+        return releases.orElseGet(() -> answer(null));
     }
 
     @Override
     public CompletableFuture<Long> nextTerm(String member) {
-        return answer(1L);
+        return terms.orElseGet(() -> answer(1L));
     }
 
     @Override
@@ -375,6 +472,10 @@
 
     @Override
     public CompletableFuture<Optional<EngineReport>> probe(BackendServer server, Duration timeout) {
+        probes.merge(server.id(), 1, Integer::sum);
+        if (probeAnswer.isPresent()) {
+            return probeAnswer.get();
+        }
         return CompletableFuture.completedFuture(
                 unresponsive.contains(server.id())
                         ? Optional.empty()
@@ -388,12 +489,17 @@
         if (unresponsive.contains(server.id())) {
             return CompletableFuture.completedFuture(Liveness.SILENT);
         }
-        try (Socket s = new Socket(server.host(), server.port())) {
-            return CompletableFuture.completedFuture(s.isConnected() ? Liveness.RUNNING : Liveness.SILENT);
+        return CompletableFuture.supplyAsync(() -> connect(server, timeout));
+    }
+
+    private static Liveness connect(BackendServer server, Duration timeout) {
+        try (Socket s = new Socket()) {
+            s.connect(new InetSocketAddress(server.host(), server.port()), (int) timeout.toMillis());
+            return Liveness.RUNNING;
         } catch (ConnectException e) {
-            return CompletableFuture.completedFuture(Liveness.ENDED);
+            return Liveness.ENDED;
         } catch (IOException e) {
-            return CompletableFuture.completedFuture(Liveness.SILENT);
+            return Liveness.SILENT;
         }
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.fleet.CallerLimits;
 import org.baobabspindle.core.fleet.EngineModel;
@@ -24,8 +25,10 @@
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.EngineOrder;
+import org.baobabspindle.port.EngineReport;
 import org.baobabspindle.port.OrderAnswer;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -44,6 +47,9 @@
     /** After this time the keeper no longer waits for more engines at the first start of the whole system either. */
     private static final Duration FIRST_START_SETTLED = Duration.ofSeconds(10);
 
+    /** After this time the keeper orders a head that is not listed to leave its group. */
+    private static final Duration HEAD_CLOSE_TIMEOUT = Duration.ofSeconds(4);
+
     private final GatewayClock clock = new GatewayClock();
     private FakePlatform platform;
     private FleetConfiguration configuration;
@@ -51,6 +57,7 @@
     private KeeperLease lease;
     private GroupKeeper keeper;
     private Map<String, String> stagedElsewhere = Map.of();
+    private final AtomicBoolean partitioned = new AtomicBoolean();
 
     @BeforeEach
     void start() throws Exception {
@@ -79,7 +86,14 @@
 
     private GroupKeeper newKeeper() {
         return new GroupKeeper(
-                platform, platform.settings(), PlanPolicy.EVEN, lease, clock, new EventLog(), new GatewayMetrics());
+                platform,
+                platform.settings(),
+                PlanPolicy.EVEN,
+                lease,
+                partitioned::get,
+                clock,
+                new EventLog(),
+                new GatewayMetrics());
     }
 
     private static BackendServer member(String id, int rank, MemberState state) {
@@ -176,4 +190,204 @@
         }
         assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Stage.class);
     }
+
+    /** A group that serves, one of whose engines entries report as unresponsive. */
+    @Nested
+    class SuspectedEngineTests {
+        private final InstanceId entry = InstanceId.of("entry-1");
+        private final InstanceId otherEntry = InstanceId.of("entry-2");
+        private final CompletableFuture<Optional<EngineReport>> probe = new CompletableFuture<>();
+
+        @BeforeEach
+        void openGroup() {
+            engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
+        }
+
+        private void report(InstanceId by) {
+            keeper.reportSuspects(by, engines.subList(0, 1));
+        }
+
+        private boolean dissolves() {
+            tick(Duration.ZERO);
+            return platform.ordersTo(HEAD).contains(EngineOrder.Leave.class);
+        }
+
+        @Test
+        void dissolvesGroupIfEngineDoesNotRespondToKeeperEither() {
+            platform.makeUnresponsive(HEAD);
+            report(entry);
+            assertThat(dissolves()).isTrue();
+        }
+
+        /** Entries that have lost their own links report every engine. */
+        @Test
+        void reportsOfSeveralEntriesDoNotDissolveGroupThatKeeperReaches() {
+            report(entry);
+            report(otherEntry);
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void reportsOfOneFailureCauseOneProbe() {
+            platform.answerProbes(probe);
+            report(entry);
+            report(otherEntry);
+            assertThat(platform.probesOf(HEAD)).isEqualTo(1);
+        }
+
+        /** An entry may have reported an engine just before it noticed that it is partitioned. */
+        @Test
+        void withdrawnReportDoesNotDissolveGroup() {
+            platform.answerProbes(probe);
+            report(entry);
+            keeper.withdrawReports(entry);
+            probe.complete(Optional.empty());
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void withdrawalDoesNotAffectReportOfAnotherEntry() {
+            platform.answerProbes(probe);
+            report(entry);
+            report(otherEntry);
+            keeper.withdrawReports(entry);
+            probe.complete(Optional.empty());
+            assertThat(dissolves()).isTrue();
+        }
+
+        @Test
+        void partitionedKeeperIgnoresReports() {
+            platform.makeUnresponsive(HEAD);
+            partitioned.set(true);
+            report(entry);
+            report(otherEntry);
+            partitioned.set(false);
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void probeThatFailsWhenKeeperIsPartitionedDoesNotDissolveGroup() {
+            platform.answerProbes(probe);
+            report(entry);
+            partitioned.set(true);
+            probe.complete(Optional.empty());
+            partitioned.set(false);
+            assertThat(dissolves()).isFalse();
+        }
+
+        /** The probe was sent before the partition and times out after it. */
+        @Test
+        void probeDuringWhichKeeperWasPartitionedDoesNotDissolveGroup() {
+            platform.answerProbes(probe);
+            report(entry);
+            keeper.discardSuspicions();
+            probe.complete(Optional.empty());
+            assertThat(dissolves()).isFalse();
+        }
+
+        @Test
+        void engineIsNotLostAnyMoreAfterPartitionOfKeeper() {
+            platform.makeUnresponsive(HEAD);
+            report(entry);
+            keeper.discardSuspicions();
+            assertThat(dissolves()).isFalse();
+        }
+    }
+
+    /** Orders for which no connection to the engine could be established. */
+    @Nested
+    class UndeliverableOrderTests {
+        private final CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
+
+        private long leaveOrders() {
+            return platform.ordersTo(HEAD).stream()
+                    .filter(EngineOrder.Leave.class::equals)
+                    .count();
+        }
+
+        /** Answers the pending order while this entry is partitioned or while it is not. */
+        private void failOrder(boolean whilePartitioned) {
+            partitioned.set(whilePartitioned);
+            answer.complete(OrderAnswer.UNREACHABLE);
+            partitioned.set(false);
+        }
+
+        private void sendOpenOrder() {
+            platform.answerOrders(answer);
+            tick(Duration.ZERO);
+            tick(Duration.ZERO);
+            assertThat(platform.ordersTo(HEAD)).containsExactly(EngineOrder.Open.class);
+        }
+
+        @Test
+        void unreachableEngineCountsAsLost() {
+            sendOpenOrder();
+            failOrder(false);
+            tick(Duration.ZERO);
+            assertThat(leaveOrders()).isEqualTo(1);
+        }
+
+        @Test
+        void engineDoesNotCountAsLostIfKeeperIsPartitioned() {
+            sendOpenOrder();
+            failOrder(true);
+            tick(Duration.ZERO);
+            assertThat(leaveOrders()).isEqualTo(0);
+        }
+
+        /** Orders the unlisted head of a group, which may still serve, to leave it. */
+        private void sendLeaveOrderToUnlistedHead() {
+            GroupKey key = new GroupKey("g7_e0_127.0.0.1_8080_1_small", 7);
+            engines = List.of(TestEngines.engine(
+                    "e1",
+                    Optional.of(SMALL.name()),
+                    Optional.empty(),
+                    Optional.of(new GroupMembership(key, 1, MemberState.READY))));
+            platform.answerOrders(answer);
+            tick(Duration.ZERO);
+            tick(HEAD_CLOSE_TIMEOUT);
+            assertThat(leaveOrders()).isEqualTo(1);
+        }
+
+        @Test
+        void unreachableUnlistedHeadHasLeftItsGroup() {
+            sendLeaveOrderToUnlistedHead();
+            failOrder(false);
+            tick(HEAD_CLOSE_TIMEOUT.plus(SETTLED));
+            assertThat(leaveOrders()).isEqualTo(1);
+        }
+
+        @Test
+        void unlistedHeadIsOrderedToLeaveAgainIfKeeperWasPartitioned() {
+            sendLeaveOrderToUnlistedHead();
+            failOrder(true);
+            tick(HEAD_CLOSE_TIMEOUT.plus(SETTLED));
+            assertThat(leaveOrders()).isEqualTo(2);
+        }
+    /** Two entries find the head unresponsive while it is silent; it would cut off its streams on the order to leave. */
+    @Test
+    void doesNotDissolveGroupWhoseHeadIsSilentForASecond() throws Exception {
+        engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
+        tick(Duration.ZERO);
+        platform.makeUnresponsive(HEAD);
+        keeper.reportSuspects(InstanceId.of("entry-1"), engines.subList(0, 1));
+        keeper.reportSuspects(InstanceId.of("entry-2"), engines.subList(0, 1));
+        tick(Duration.ZERO);
+        assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
+        platform.makeResponsive(HEAD);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
+    }
+
+    /** The order cannot be sent because a packet is lost or all connections are in use; the engine responds to probes. */
+    @Test
+    void doesNotDissolveGroupBecauseAnOrderCouldNotBeSent() {
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.UNREACHABLE));
+        tick(Duration.ZERO);
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).contains(EngineOrder.Open.class);
+        engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
+        tick(SETTLED);
+        assertThat(platform.ordersTo(HEAD)).doesNotContain(EngineOrder.Leave.class);
+    }
 }
--- /dev/null
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -0,0 +1,300 @@
+package org.baobabspindle.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import org.baobabspindle.core.id.AvailabilityZone;
+import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.peer.PeerMessage;
+import org.baobabspindle.peer.PeerSecret;
+import org.baobabspindle.peer.PeerServer;
+import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.FeedRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class PeerMeshTests {
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("z1");
+    private static final AvailabilityZone OTHER_ZONE = AvailabilityZone.of("z2");
+    private static final String SECRET = "a-secret-for-tests";
+
+    /** Responses that are not older than this show that a peer is responsive. */
+    private static final Duration RECENT = FleetScaling.aliveTimeout(1).dividedBy(4);
+
+    private static final EntryAnnouncement SELF =
+            new EntryAnnouncement(Incarnation.of("entry", 1), "127.0.0.1", 8000, 9000, ZONE, SECRET);
+
+    private final GatewayClock clock = new GatewayClock();
+    private final ExecutorService workers = Executors.newFixedThreadPool(4);
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final AtomicBoolean partitioned = new AtomicBoolean();
+    private final PeerMesh mesh = new PeerMesh(SELF, partitioned::get, workers, traffic, new EventLog());
+    private final List<TestPeer> peers = new ArrayList<>();
+
+    /** Another entry, which answers the exchange of state. */
+    private final class TestPeer {
+        private final PeerServer server;
+        private final EntryAnnouncement announcement;
+        private final AtomicInteger statesReceived = new AtomicInteger();
+        private volatile boolean partitioned;
+        private volatile boolean ready = true;
+
+        TestPeer(String id, AvailabilityZone zone) throws IOException {
+            server = PeerServer.start("127.0.0.1", 0, new PeerSecret(SECRET), workers, this::respond, traffic);
+            announcement = new EntryAnnouncement(
+                    Incarnation.of(id, 1), "127.0.0.1", 8001 + peers.size(), server.port(), zone, SECRET);
+        }
+
+        private PeerMessage respond(PeerMessage request) {
+            statesReceived.incrementAndGet();
+            return new PeerMessage.PulseAnswer(pulse(ready, partitioned));
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        mesh.close();
+        for (TestPeer p : peers) {
+            p.server.close();
+        }
+        workers.shutdownNow();
+    }
+
+    private static PeerMessage.Pulse pulse(boolean ready, boolean partitioned) {
+        return new PeerMessage.Pulse(
+                ready, 1, 0, Map.of(), Map.of(), Map.of(), List.of(), List.of(), false, 0, partitioned);
+    }
+
+    private TestPeer startPeer(String id, AvailabilityZone zone) throws Exception {
+        TestPeer peer = new TestPeer(id, zone);
+        peers.add(peer);
+        mesh.announcementsRead(List.of(new FeedRecord(id, Optional.of(peer.announcement.toJson()))));
+        return peer;
+    }
+
+    /** Exchanges state until every peer has recently responded to a request that was sent after this call. */
+    private void exchangeWithAll() throws InterruptedException {
+        Map<EntryAnnouncement, Moment> responses = new ConcurrentHashMap<>();
+        Moment startedAt = clock.now();
+        GatewayTestSupport.await(() -> {
+            mesh.exchangeState(pulse(true, partitioned.get()), clock, (from, pulse, requestedAt, now) -> {
+                if (startedAt.isBefore(requestedAt)) {
+                    responses.put(from, now);
+                }
+            });
+            Moment now = clock.now();
+            responses.values().removeIf(at -> now.since(at).compareTo(RECENT) > 0);
+            return responses.size() == peers.size();
+        });
+    }
+
+    private List<String> addresses(Optional<AvailabilityZone> zone) {
+        return mesh.addresses(zone, true, clock.now());
+    }
+
+    @Test
+    void changeIsExchangedWithAllPeersAtOnce() throws Exception {
+        for (int i = 0; i <= FleetScaling.PEERS_PER_ROUND; i++) {
+            startPeer("p" + i, ZONE);
+        }
+        exchangeWithAll();
+        List<Integer> before = peers.stream().map(p -> p.statesReceived.get()).toList();
+        mesh.exchangeStateWithAll(pulse(true, true), clock, (from, pulse, requestedAt, now) -> {});
+        GatewayTestSupport.await(() -> {
+            for (int i = 0; i < peers.size(); i++) {
+                if (peers.get(i).statesReceived.get() == before.get(i)) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    @Test
+    void addressesLeaveOutPartitionedPeer() throws Exception {
+        TestPeer a = startPeer("a", ZONE);
+        TestPeer b = startPeer("b", ZONE);
+        a.partitioned = true;
+        exchangeWithAll();
+        assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress(), b.announcement.callerAddress());
+    }
+
+    @Test
+    void stateThatPeerSendsChangesAddressesAtOnce() throws Exception {
+        TestPeer a = startPeer("a", ZONE);
+        exchangeWithAll();
+        assertThat(addresses(Optional.empty())).contains(a.announcement.callerAddress());
+        mesh.stateReceived(a.announcement.entry(), pulse(true, true));
+        assertThat(addresses(Optional.empty())).doesNotContain(a.announcement.callerAddress());
+    }
+
+    @Test
+    void callersOfZoneWhoseEntriesArePartitionedGetEntriesOfOtherZones() throws Exception {
+        partitioned.set(true);
+        startPeer("a", ZONE).partitioned = true;
+        TestPeer b = startPeer("b", OTHER_ZONE);
+        exchangeWithAll();
+        assertThat(addresses(Optional.of(ZONE))).containsExactly(b.announcement.callerAddress());
+    }
+
+    /** An entry that is not ready does not replace one that is partitioned. */
+    @Test
+    void addressesIncludePartitionedEntryIfNoOtherIsReady() throws Exception {
+        partitioned.set(true);
+        startPeer("a", ZONE).ready = false;
+        exchangeWithAll();
+        assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress());
+    }
+
+    @Test
+    void partitionedEntryWithoutPeersIsListed() {
+        partitioned.set(true);
+        assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress());
+    }
+
+    @Test
+    void unresponsivePeerDoesNotReplacePartitionedEntry() throws Exception {
+        partitioned.set(true);
+        startPeer("a", ZONE);
+        exchangeWithAll();
+        Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+        assertThat(mesh.addresses(Optional.empty(), true, later)).containsExactly(SELF.callerAddress());
+    }
+
+    @Test
+    void partitionedPeersAreNoCandidatesForKeepers() throws Exception {
+        for (int i = 0; i < 8; i++) {
+            startPeer("p" + i, ZONE);
+        }
+        exchangeWithAll();
+        assertThat(mesh.candidateCount(clock.now())).isEqualTo(9);
+        assertThat(mesh.rankAmongCandidates(clock.now())).isGreaterThan(0);
+        peers.forEach(p -> p.partitioned = true);
+        exchangeWithAll();
+        assertThat(mesh.candidateCount(clock.now())).isEqualTo(1);
+        assertThat(mesh.rankAmongCandidates(clock.now())).isEqualTo(0);
+    }
+
+    @Test
+    void partitionedEntriesDoNotCountAsDispatching() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        startPeer("b", ZONE);
+        exchangeWithAll();
+        assertThat(mesh.dispatchingEntryCount(clock.now())).isEqualTo(2);
+        partitioned.set(true);
+        assertThat(mesh.dispatchingEntryCount(clock.now())).isEqualTo(1);
+    }
+
+    @Test
+    void atLeastOneEntryCountsAsDispatching() {
+        partitioned.set(true);
+        assertThat(mesh.dispatchingEntryCount(clock.now())).isEqualTo(1);
+    }
+
+    /** The partition of an entry that does not respond to this one may have ended. */
+    @Test
+    void unresponsiveEntryCountsAsDispatching() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        exchangeWithAll();
+        Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+        assertThat(mesh.dispatchingEntryCount(later)).isEqualTo(2);
+    }
+
+    /** The limit of a backend server would be unused if only entries that cannot reach it shared it. */
+    @Test
+    void partitionedEntriesDoNotShareLimits() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        startPeer("b", ZONE).partitioned = true;
+        startPeer("c", ZONE);
+        exchangeWithAll();
+        assertThat(mesh.sharingEntries(clock.now()))
+                .containsExactly(SELF.entry().instance(), InstanceId.of("c"));
+    }
+
+    @Test
+    void entryThatLostContactToMostOthersSharesLimitsWithAll() throws Exception {
+        startPeer("a", ZONE).partitioned = true;
+        startPeer("b", ZONE);
+        exchangeWithAll();
+        Moment later = clock.now().plus(FleetScaling.aliveTimeout(3)).plus(Duration.ofMillis(1));
+        assertThat(mesh.sharingEntries(later)).hasSize(3);
+    }
+
+    /** The choice of an entry to which a request is relayed. */
+    @Nested
+    class RelayPeerTests {
+        private Optional<String> relayPeer(String... except) {
+            Set<InstanceId> excluded = Arrays.stream(except).map(InstanceId::of).collect(Collectors.toSet());
+            return mesh.relayPeer(excluded, id -> 0, clock.now())
+                    .map(e -> e.entry().instance().value());
+        }
+
+        @Test
+        void entryWithoutPeersHasNone() {
+            assertThat(relayPeer()).isEmpty();
+        }
+
+        @Test
+        void prefersOwnZone() throws Exception {
+            startPeer("a", OTHER_ZONE);
+            startPeer("b", ZONE);
+            exchangeWithAll();
+            assertThat(relayPeer()).hasValue("b");
+        }
+
+        @Test
+        void leavesOutPartitionedEntriesAndThoseThatAreNotReady() throws Exception {
+            startPeer("a", ZONE).partitioned = true;
+            startPeer("b", ZONE).ready = false;
+            startPeer("c", OTHER_ZONE);
+            exchangeWithAll();
+            assertThat(relayPeer()).hasValue("c");
+        }
+
+        @Test
+        void leavesOutEntriesThatHaveFailedTheRequest() throws Exception {
+            startPeer("a", ZONE);
+            startPeer("b", OTHER_ZONE);
+            exchangeWithAll();
+            assertThat(relayPeer("a")).hasValue("b");
+            assertThat(relayPeer("a", "b")).isEmpty();
+        }
+
+        @Test
+        void choosesEntryWithFewestRelayedRequests() throws Exception {
+            startPeer("a", ZONE);
+            startPeer("b", ZONE);
+            exchangeWithAll();
+            Optional<EntryAnnouncement> chosen =
+                    mesh.relayPeer(Set.of(), id -> id.value().equals("a") ? 3 : 1, clock.now());
+            assertThat(chosen.map(e -> e.entry().instance().value())).hasValue("b");
+        }
+
+        @Test
+        void leavesOutUnresponsiveEntries() throws Exception {
+            startPeer("a", ZONE);
+            exchangeWithAll();
+            Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+            assertThat(mesh.relayPeer(Set.of(), id -> 0, later)).isEmpty();
+        }
+    }
+}
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
@@ -48,7 +48,7 @@
     }
 
     @Override
-    public Optional<EntryAnnouncement> nextPeer(
+    public Optional<EntryAnnouncement> relayPeer(
             Set<InstanceId> except, ToIntFunction<InstanceId> outstanding, Moment now) {
         return entries.stream()
                 .filter(e -> !except.contains(e.entry().instance()))
--- a/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.Set;
 import java.util.function.UnaryOperator;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.junit.jupiter.api.AfterEach;
@@ -42,10 +43,16 @@
     }
 
     private int knownEntries(FakePlatform entry) {
+        return addressesFrom(entry).size();
+    }
+
+    /** Returns the addresses that an entry gives to callers. */
+    Set<String> addressesFrom(FakePlatform entry) {
         try {
             HttpRequest ask =
                     HttpRequest.newBuilder(URI.create(entry.directoryUrl())).build();
-            return http.send(ask, HttpResponse.BodyHandlers.ofString()).body().split(",").length;
+            return Set.of(
+                    http.send(ask, HttpResponse.BodyHandlers.ofString()).body().split(","));
         } catch (IOException | InterruptedException e) {
             throw new IllegalStateException(e);
         }
