--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -364,6 +364,8 @@
             tick(HEAD_CLOSE_TIMEOUT.plus(SETTLED));
             assertThat(leaveOrders()).isEqualTo(2);
         }
+    }
+
     /** Two entries find the head unresponsive while it is silent; it would cut off its streams on the order to leave. */
     @Test
     void doesNotDissolveGroupWhoseHeadIsSilentForASecond() throws Exception {
