--- a/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
@@ -61,7 +61,8 @@
     }
 
     /** Returns whether a request that could not be sent to a server is likely to fail at others as well. */
-    synchronized boolean othersFail(BackendServer server) {
+    @Override
+    public synchronized boolean othersFail(BackendServer server) {
         return reachability.othersFail(server.id());
     }
 
