--- a/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
@@ -53,6 +53,8 @@
     private final Map<InstanceId, Moment> connectFailures = new HashMap<>();
     private List<InstanceId> listed = List.of();
     private Optional<Moment> lastTick = Optional.empty();
+    private Optional<Moment> lastReceived = Optional.empty();
+    private Optional<Moment> lastConnected = Optional.empty();
     private Optional<Moment> lastProbe = Optional.empty();
     private long tickCount;
     private int nextProbe;
@@ -126,8 +128,13 @@
         a.receivedSinceTick = true;
         a.lastReceived = Optional.of(now);
         receivedSinceTick = true;
+        lastReceived = Optional.of(now);
         silence = Duration.ZERO;
-        isolated = false;
+        if (isolated) {
+            isolated = false;
+            // Connections failed for the same reason, which has ended.
+            connected(now);
+        }
     }
 
     /**
@@ -148,10 +155,11 @@
      * listed do not count, since those have terminated.
      *
      * @param server the server
+     * @param since when the attempt began that has failed; it does not count if any server was heard from later
      * @param now the present time
      */
-    public void failed(InstanceId server, Moment now) {
-        if (listed.contains(server)) {
+    public void failed(InstanceId server, Moment since, Moment now) {
+        if (listed.contains(server) && !isAfter(lastReceived, since)) {
             failures.put(server, new Failure(now, tickCount));
         }
     }
@@ -160,17 +168,27 @@
      * Records that a new connection to a server could not be established.
      *
      * @param server the server
+     * @param since when the attempt began that has failed; it does not count if a later one succeeded
      * @param now the present time
      */
-    public void connectFailed(InstanceId server, Moment now) {
-        failed(server, now);
-        if (listed.contains(server)) {
+    public void connectFailed(InstanceId server, Moment since, Moment now) {
+        failed(server, since, now);
+        if (listed.contains(server) && !isAfter(lastConnected, since)) {
             connectFailures.put(server, now);
         }
     }
 
-    /** Records that a new connection to any server was established. */
-    public void connected() {
+    private static boolean isAfter(Optional<Moment> event, Moment start) {
+        return event.filter(start::isBefore).isPresent();
+    }
+
+    /**
+     * Records that a new connection to any server was established.
+     *
+     * @param now the present time
+     */
+    public void connected(Moment now) {
+        lastConnected = Optional.of(now);
         connectFailures.clear();
         withoutConnection = Duration.ZERO;
         disconnected = false;
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -170,7 +170,7 @@
     }
 
     private EnginePort observedEngines(Platform platform, ServerNotices notices) {
-        return new ObservedEnginePort(platform.engines(client, notices::probeResponseReceived), reachability);
+        return new ObservedEnginePort(platform.engines(client, notices::probeResponseReceived), reachability, clock);
     }
 
     private void reachabilityChanged(Reachability state) {
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -32,7 +32,7 @@
     private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(60);
 
     /** The timeout after which an attempt to connect to a backend server counts as failed. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+    static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
     /** Ends a call whose own timeouts failed to do so; longer than the timeout of any route. */
     private static final Duration CLIENT_IDLE_TIMEOUT = Duration.ofSeconds(20);
--- a/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -87,10 +88,13 @@
         if (failure.filter(ReachabilityMonitor::isNetworkFailure).isEmpty()) {
             return;
         }
+        Moment now = clock.now();
         if (sent) {
-            reachability.failed(server.id(), clock.now());
+            reachability.failed(server.id(), now, now);
         } else {
-            reachability.connectFailed(server.id(), clock.now());
+            boolean timedOut = failure.orElseThrow() instanceof SocketTimeoutException;
+            Moment startedAt = timedOut ? now.minus(GatewayServer.CONNECT_TIMEOUT) : now;
+            reachability.connectFailed(server.id(), startedAt, now);
         }
     }
 
@@ -99,31 +103,31 @@
         return t instanceof IOException && !(t instanceof EOFException) && !(t instanceof ClosedChannelException);
     }
 
-    /** Records that a server did not answer. */
-    synchronized void failed(BackendServer server) {
-        reachability.failed(server.id(), clock.now());
+    /** Records that a server did not answer a request of this entry's own that was sent at a time. */
+    synchronized void failed(BackendServer server, Moment startedAt) {
+        reachability.failed(server.id(), startedAt, clock.now());
     }
 
     /**
      * Records that a probe on a new connection was not answered. The server may be busy, but during a partition this shows
      * that new connections still fail.
      */
-    synchronized void probeUnanswered(BackendServer server) {
+    synchronized void probeUnanswered(BackendServer server, Moment startedAt) {
         if (isPartitioned()) {
-            connectFailed(server);
+            connectFailed(server, startedAt);
         } else {
-            failed(server);
+            failed(server, startedAt);
         }
     }
 
     /** Records that a server refused a new connection. */
-    synchronized void connectFailed(BackendServer server) {
-        reachability.connectFailed(server.id(), clock.now());
+    synchronized void connectFailed(BackendServer server, Moment startedAt) {
+        reachability.connectFailed(server.id(), startedAt, clock.now());
     }
 
     /** Records that a server answered on a new connection. */
     synchronized void connected(BackendServer server) {
-        reachability.connected();
+        reachability.connected(clock.now());
         received(server);
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/ReachabilityProber.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityProber.java
@@ -34,7 +34,7 @@
 
     /** Evaluates the evidence and sends the probes that are due. */
     void tick(Moment now) {
-        monitor.tick(fleet, now).forEach(this::probe);
+        monitor.tick(fleet, now).forEach(s -> probe(s, now));
         Reachability current = monitor.state();
         if (current != state) {
             state = current;
@@ -42,16 +42,16 @@
         }
     }
 
-    private void probe(BackendServer server) {
+    private void probe(BackendServer server, Moment now) {
         probes.probeLiveness(server, fleet.healthPath(server), PROBE_TIMEOUT)
-                .thenAccept(liveness -> recordProbe(server, liveness));
+                .thenAccept(liveness -> recordProbe(server, liveness, now));
     }
 
-    private void recordProbe(BackendServer server, Liveness liveness) {
+    private void recordProbe(BackendServer server, Liveness liveness, Moment startedAt) {
         switch (liveness) {
             case RUNNING -> monitor.connected(server);
-            case SILENT -> monitor.probeUnanswered(server);
-            case ENDED -> monitor.connectFailed(server);
+            case SILENT -> monitor.probeUnanswered(server, startedAt);
+            case ENDED -> monitor.connectFailed(server, startedAt);
             default -> throw new AssertionError(liveness);
         }
     }
