--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -91,6 +91,9 @@
         if (refusal.isPresent()) {
             return refusal;
         }
+        if (isRetry()) {
+            return Optional.empty();
+        }
         Duration wait = context.dispatcher().predictedWait(pool.orElseThrow(), context.dispatchingEntryCount(now), now);
         boolean tooLate = !now.plus(wait).isBefore(waitLimits().giveUpAt());
         return tooLate ? Optional.of(Refusal.NO_CAPACITY) : Optional.empty();
@@ -177,6 +180,11 @@
         return mark.isPresent();
     }
 
+    /** Returns whether the entry that relays the request has already sent it to a backend server. */
+    private boolean isRetry() {
+        return mark.filter(m -> m.stage() != RelayMark.Stage.NEW).isPresent();
+    }
+
     /** Returns the number of backend servers that may run the request. */
     int maxAttempts() {
         int allowed = route.orElseThrow().maxAttempts();
@@ -242,6 +250,9 @@
 
     /** Returns the priority of the account if it has one, else that of the route; 0 is served first. */
     int priority() {
+        if (mark.filter(m -> m.stage() == RelayMark.Stage.CONTINUED).isPresent()) {
+            return 0;
+        }
         Optional<AccountPolicy> account = account();
         return account.isPresent() && account.get().priority().isPresent()
                 ? account.get().priority().getAsInt()
@@ -249,6 +260,9 @@
     }
 
     RequestQueue.WaitLimits waitLimits() {
+        if (isRetry()) {
+            return retryWaitLimits(receivedAt);
+        }
         Route r = route.orElseThrow();
         return WaitingPolicy.waitLimits(receivedAt, r.targetLatency(), timeout(r));
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -171,7 +171,7 @@
             refuse(refusal.get(), "before it was relayed", now);
             return () -> {};
         }
-        EntryDestination to = progress.relay();
+        EntryDestination to = progress.relay(response.committed());
         log.relayed("no server can be reached", to);
         return call(to, now);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerSecret;
@@ -14,6 +15,7 @@
     private final Surroundings surroundings;
     private final PeerSecret secret;
     private final Map<InstanceId, Integer> outstanding = new ConcurrentHashMap<>();
+    private final AtomicBoolean requestMoved = new AtomicBoolean();
 
     /**
      * What an entry relays between.
@@ -47,6 +49,16 @@
         return surroundings.peers().relayPeer(except, id -> outstanding.getOrDefault(id, 0), now);
     }
 
+    /** A request no longer occupies a slot of its server for this entry, but for another one. */
+    void requestMoved() {
+        requestMoved.set(true);
+    }
+
+    /** Returns whether requests have moved since the last call. */
+    boolean takeRequestMoved() {
+        return requestMoved.compareAndSet(true, false);
+    }
+
     /** A request is sent to an entry. */
     void sent(InstanceId entry) {
         outstanding.merge(entry, 1, Integer::sum);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -362,7 +362,7 @@
             }
         });
         announce();
-        scheduleEvery(TICK_INTERVAL, () -> context.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, this::checkRequests);
         scheduleEvery(TICK_INTERVAL, () -> reachabilityProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
@@ -504,6 +504,14 @@
                 .apply(lease);
     }
 
+    /** Checks the requests in progress, and informs the other entries at once of the slots that some have left. */
+    private void checkRequests() {
+        context.tick(clock.now());
+        if (context.relay().takeRequestMoved()) {
+            gossip.exchangeStateWithAll();
+        }
+    }
+
     /**
      * Releases or requests the lease and informs the other entries at once when a partition from the backend servers
      * begins or ends.
--- a/entry/src/main/java/org/baobabspindle/gateway/RelayMark.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RelayMark.java
@@ -9,9 +9,20 @@
  * a caller cannot sign one, and a request whose mark is not signed is treated as a request without a mark.
  *
  * @param attempts the number of backend servers that may still run the request
+ * @param stage how far the first entry has come with the request
  */
-record RelayMark(int attempts) {
-    /** The request header of the mark: the attempts and the signature, separated by a space. */
+record RelayMark(int attempts, Stage stage) {
+    /** How far the first entry has come with the request. */
+    enum Stage {
+        /** It has not been sent to a backend server. */
+        NEW,
+        /** It has been sent to a backend server. */
+        RETRIED,
+        /** The caller has received a part of the response. */
+        CONTINUED
+    }
+
+    /** The request header of the mark: the attempts, the stage and the signature, separated by spaces. */
     static final String HEADER = "Entry-Relay";
 
     /** The response header by which an entry states why it refuses a relayed request: the name of the refusal. */
@@ -20,25 +31,32 @@
     /** Returns the mark of a request; empty if it has none or the signature is invalid. */
     static Optional<RelayMark> of(HttpFields headers, String requestId, PeerSecret secret) {
         String text = headers.get(HEADER);
-        int space = text == null ? -1 : text.indexOf(' ');
-        if (space < 0) {
+        int end = text == null ? -1 : text.lastIndexOf(' ');
+        if (end < 0) {
             return Optional.empty();
         }
-        String attempts = text.substring(0, space);
-        if (!attempts.matches("[1-9]\\d{0,3}")
-                || !secret.verify(signed(attempts, requestId), text.substring(space + 1))) {
+        String signed = text.substring(0, end);
+        return secret.verify(textToSign(signed, requestId), text.substring(end + 1)) ? parse(signed) : Optional.empty();
+    }
+
+    private static Optional<RelayMark> parse(String text) {
+        int space = text.indexOf(' ');
+        try {
+            return Optional.of(new RelayMark(
+                    Integer.parseInt(text.substring(0, space)), Stage.valueOf(text.substring(space + 1))));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             return Optional.empty();
         }
-        return Optional.of(new RelayMark(Integer.parseInt(attempts)));
     }
 
     /** Returns the value of the request header. */
     String format(String requestId, PeerSecret receiver) {
-        return attempts + " " + receiver.sign(signed(String.valueOf(attempts), requestId));
+        String text = attempts + " " + stage;
+        return text + ' ' + receiver.sign(textToSign(text, requestId));
     }
 
-    private static String signed(String attempts, String requestId) {
-        return "relay " + attempts + ' ' + requestId;
+    private static String textToSign(String mark, String requestId) {
+        return "relay " + mark + ' ' + requestId;
     }
 
     /** Returns the reason for which an entry has refused a relayed request; empty if the response names none. */
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -124,9 +124,19 @@
      * Relays the request to the entry that was chosen last. One backend server may run it, since it would be unknown how
      * many have run it if the entry did not answer.
      */
-    EntryDestination relay() {
+    EntryDestination relay(boolean responseBegun) {
         relays++;
-        return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1));
+        if (hasBeenSent()) {
+            context.relay().requestMoved();
+        }
+        return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1, stage(responseBegun)));
+    }
+
+    private RelayMark.Stage stage(boolean responseBegun) {
+        if (responseBegun) {
+            return RelayMark.Stage.CONTINUED;
+        }
+        return hasBeenSent() ? RelayMark.Stage.RETRIED : RelayMark.Stage.NEW;
     }
 
     /**
