--- a/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
@@ -46,7 +46,7 @@
 
     private static final Duration SUSPICION_PROBE_INTERVAL = Duration.ofMillis(100);
     private static final Duration PARTITION_PROBE_INTERVAL = Duration.ofMillis(250);
-    private static final Duration IDLE_PROBE_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration IDLE_PROBE_INTERVAL = Duration.ofMillis(500);
 
     private final Map<InstanceId, Activity> activities = new HashMap<>();
     private final Map<InstanceId, Failure> failures = new HashMap<>();
--- a/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
@@ -27,34 +27,29 @@
     /** How connections fail while the link is cut. */
     enum Cut {
         /** Existing connections stay open without passing a byte; new ones hang. */
-        SILENT(true) {
+        SILENT {
             @Override
             void apply(CuttableLink link) throws IOException {
                 link.hangNewConnections();
+                link.holdBytes();
             }
         },
         /** Existing connections are reset; new ones hang. */
-        RESET(true) {
+        RESET {
             @Override
             void apply(CuttableLink link) throws IOException {
-                link.resetConnections();
                 link.hangNewConnections();
+                link.resetConnections();
             }
         },
         /** Existing connections go on; new ones are refused. */
-        REFUSE(false) {
+        REFUSE {
             @Override
             void apply(CuttableLink link) throws IOException {
                 link.listener.close();
             }
         };
 
-        private final boolean holdsBytes;
-
-        Cut(boolean holdsBytes) {
-            this.holdsBytes = holdsBytes;
-        }
-
         abstract void apply(CuttableLink link) throws IOException;
     }
 
@@ -103,10 +98,6 @@
 
     /** Cuts the link until {@link #heal()}. */
     void cut(Cut cut) throws IOException {
-        synchronized (this) {
-            holding = cut.holdsBytes;
-            accepting = !cut.holdsBytes;
-        }
         cut.apply(this);
     }
 
@@ -146,8 +137,15 @@
         }
     }
 
-    /** Fills the accept queue, which is not emptied any more, so that further connections get no response. */
+    private synchronized void holdBytes() {
+        holding = true;
+    }
+
+    /** Stops accepting and fills the accept queue, so that further connections get no response. */
     private void hangNewConnections() throws IOException {
+        synchronized (this) {
+            accepting = false;
+        }
         while (true) {
             Socket s = new Socket();
             try {
