--- a/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.port.ForwardingHeaders;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 
@@ -30,6 +31,20 @@
         return headers;
     }
 
+    /** Returns whether the server states that it did not run the request. */
+    boolean notRun(ForwardingHeaders names) {
+        return headers.contains(names.notRun()) || status == 421;
+    }
+
+    /** Returns what the call shows about the health of its target. */
+    Dispatcher.CallResult callResult(BackendCall.End end) {
+        boolean complete = end == BackendCall.End.COMPLETE;
+        if (complete && status == 503 && headers.contains("Retry-After")) {
+            return Dispatcher.CallResult.NEUTRAL;
+        }
+        return complete && status < 500 ? Dispatcher.CallResult.SUCCEEDED : Dispatcher.CallResult.FAILED;
+    }
+
     /** Consumes bytes of a stream and returns the events that they complete. */
     List<EventSplitter.Event> split(ByteBuffer bytes) {
         return splitter.split(bytes);
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -140,18 +140,19 @@
         expired.forEach(t -> workers.execute(t.onExpired()));
     }
 
-    private boolean assign(Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
+    private RequestQueue.Result assign(
+            Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
         int choices = FleetScaling.targetChoices(entryCount.getAsInt());
         List<Target> targets = fleet.catalog().targets(t.pool());
         Optional<Target> target = chooser.choose(
                 choices, targets, totals, x -> isUsable(x, t.avoid(), now), x -> slowTargets.contains(x.key()));
         if (target.isEmpty()) {
-            return false;
+            return t.avoid().isEmpty() ? RequestQueue.Result.FULL : RequestQueue.Result.NOT_SUITED;
         }
         loads.requestSent(target.get().key());
         rateLimits.requestSent(target.get().server().lifetime(), now);
         assigned.add(new Assignment(t, target.get()));
-        return true;
+        return RequestQueue.Result.ACCEPTED;
     }
 
     private boolean isUsable(Target target, Set<String> avoid, Moment now) {
@@ -172,7 +173,11 @@
                 .anyMatch(t -> totals.apply(t.key()) < t.slots() && isUsable(t, avoid, now));
     }
 
-    /** Returns the expected wait of a new request of a pool; days if the pool has no target. */
+    /**
+     * Returns the expected wait of a new request of a pool; days if the pool has no target.
+     *
+     * @param entries the number of entries that send requests to the targets
+     */
     synchronized Duration predictedWait(TargetPool pool, int entries, Moment now) {
         List<Target> targets = fleet.catalog().targets(pool);
         RequestQueue<Ticket> queue = queues.get(pool);
@@ -218,6 +223,7 @@
 
     /** Records an event of a stream and the interval since the event before it, which is empty for the first one. */
     synchronized void eventReceived(Target target, Optional<Duration> interval, Moment now) {
+        health.recordResponse(target.key());
         stalls.eventReceived(target.key(), interval.isEmpty(), now);
         interval.ifPresent(p -> slowTargetDetector.recordInterval(target.key(), p, now));
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
@@ -39,10 +40,12 @@
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
     private final IntSupplier entryCount;
+    private final ToIntFunction<Moment> dispatchingEntryCount;
     private final Duration keyLifetime;
     private final ServerNotices notices;
     private final ReachabilityMonitor reachability;
     private final CrashGuard quarantine;
+    private final EntryRelay relay;
     private final ResponseBuffer.ByteBudget bufferBudget = new ResponseBuffer.ByteBudget(MAX_BUFFERED_BYTES);
     private final Set<CallerExchange> active = ConcurrentHashMap.newKeySet();
 
@@ -54,12 +57,14 @@
             ServerNotices notices,
             ReachabilityMonitor reachability,
             CrashGuard quarantine,
+            EntryRelay relay,
             ForwardingHeaders names,
             ShutdownState stopping,
             EventLog log,
             GatewayMetrics metrics,
             RandomGenerator random,
             IntSupplier entries,
+            ToIntFunction<Moment> dispatchingEntries,
             GatewaySettings.Bounds bounds) {
         this.clock = clock;
         this.fleet = fleet;
@@ -68,12 +73,14 @@
         this.notices = notices;
         this.reachability = reachability;
         this.quarantine = quarantine;
+        this.relay = relay;
         this.headerNames = names;
         this.stopping = stopping;
         this.log = log;
         this.metrics = metrics;
         this.random = random;
         this.entryCount = entries;
+        this.dispatchingEntryCount = dispatchingEntries;
         this.keyLifetime = bounds.maxRevocationDelay().minus(KEY_MARGIN);
     }
 
@@ -105,6 +112,10 @@
         return quarantine;
     }
 
+    EntryRelay relay() {
+        return relay;
+    }
+
     ResponseBuffer.ByteBudget bufferBudget() {
         return bufferBudget;
     }
@@ -130,6 +141,11 @@
         return Math.max(1, entryCount.getAsInt());
     }
 
+    /** Returns the number of entries that send requests to backend servers, at least 1. */
+    int dispatchingEntryCount(Moment now) {
+        return dispatchingEntryCount.applyAsInt(now);
+    }
+
     /** Returns the maximum age of the configuration at which API keys are accepted. */
     Duration keyLifetime() {
         return keyLifetime;
@@ -139,11 +155,17 @@
         active.add(exchange);
     }
 
-    void finished(CallerExchange exchange, String outcome) {
-        active.remove(exchange);
+    /** Records the outcome of a request whose response may still have to be written. */
+    void finished(String outcome) {
         metrics.finished(outcome);
     }
 
+    /** Records that the response of a request was written completely or aborted. */
+    void closed(CallerExchange exchange) {
+        active.remove(exchange);
+    }
+
+    /** Returns the requests that were read completely and whose responses are not written completely. */
     Set<CallerExchange> active() {
         return active;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -29,6 +29,7 @@
     private final ServerNotices notices;
     private final RecentPages recent;
     private final BooleanSupplier isFollower;
+    private final BooleanSupplier partitioned;
     private final Map<Incarnation, Long> fetchedDigests = new ConcurrentHashMap<>();
     private volatile SuspicionListener suspicionListener = (suspects, now) -> {};
 
@@ -46,9 +47,11 @@
             Runnable onConfigurationChanged,
             ServerNotices notices,
             RecentPages recent,
-            BooleanSupplier isFollower) {
+            BooleanSupplier isFollower,
+            BooleanSupplier partitioned) {
         this.recent = recent;
         this.isFollower = isFollower;
+        this.partitioned = partitioned;
         this.notices = notices;
         this.self = self;
         this.context = context;
@@ -74,7 +77,8 @@
                 notices.recentlyLeaving(now),
                 rateLimitNotices(now),
                 isFollower.getAsBoolean(),
-                context.quarantine().digest(now));
+                context.quarantine().digest(now),
+                partitioned.getAsBoolean());
     }
 
     private List<PeerMessage.RateLimitNotice> rateLimitNotices(Moment now) {
@@ -93,13 +97,27 @@
     void exchangeState() {
         Moment startedAt = context.clock().now();
         context.dispatcher().updateRateSharing(mesh.sharingEntries(startedAt), startedAt);
-        mesh.exchangeState(localState(), context.clock(), (from, pulse, requestedAt, now) -> {
-            context.dispatcher().updatePeerCounts(from.entry().instance(), pulse.loads(), now);
-            updateConfiguration(from, pulse, requestedAt);
-            notices.receiveLeaving(pulse.leaving());
-            notices.receiveRateLimits(pulse.limits());
-            updateCrashes(from, pulse);
-        });
+        mesh.exchangeState(localState(), context.clock(), this::stateReceived);
+    }
+
+    /** Exchanges state with all responsive peers at once. */
+    void exchangeStateWithAll() {
+        mesh.exchangeStateWithAll(localState(), context.clock(), this::stateReceived);
+    }
+
+    private void stateReceived(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment requestedAt, Moment now) {
+        context.dispatcher().updatePeerCounts(from.entry().instance(), pulse.loads(), now);
+        updateConfiguration(from, pulse, requestedAt);
+        notices.receiveLeaving(pulse.leaving());
+        notices.receiveRateLimits(pulse.limits());
+        updateCrashes(from, pulse);
+        withdrawReports(from.entry().instance(), pulse);
+    }
+
+    private void withdrawReports(InstanceId from, PeerMessage.Pulse pulse) {
+        if (pulse.partitioned()) {
+            keeper.withdrawReports(from);
+        }
     }
 
     /**
@@ -159,6 +177,7 @@
             notices.receiveRateLimits(p.pulse().limits());
             Moment now = context.clock().now();
             context.dispatcher().updatePeerCounts(p.from().instance(), p.pulse().loads(), now);
+            withdrawReports(p.from().instance(), p.pulse());
             return new PeerMessage.PulseAnswer(localState());
         } else if (message instanceof PeerMessage.ConfigurationAsk) {
             return new PeerMessage.ConfigurationAnswer(
@@ -175,19 +194,33 @@
                     .<PeerMessage>map(StoreRecords::toMessage)
                     .orElse(new PeerMessage.Failed("the list is not followed here"));
         } else if (message instanceof PeerMessage.EnginesSuspected s) {
-            Set<InstanceId> ids = new HashSet<>(s.engines());
-            List<BackendServer> suspects = context.fleet().servers().stream()
-                    .filter(x -> ids.contains(x.id()))
-                    .toList();
-            suspicionListener.enginesSuspected(suspects, context.clock().now());
-            keeper.reportSuspects(s.by(), suspects);
+            receiveSuspects(s);
             return new PeerMessage.Noted();
         }
         return new PeerMessage.Failed("not a message between gateways");
     }
 
-    /** Reports engines that do not respond to this entry to all keepers, the one of this entry included. */
+    /** Applies a report of unresponsive engines, unless its sender or this entry is partitioned from them. */
+    private void receiveSuspects(PeerMessage.EnginesSuspected report) {
+        if (partitioned.getAsBoolean() || mesh.isPartitioned(report.by())) {
+            return;
+        }
+        Set<InstanceId> ids = new HashSet<>(report.engines());
+        List<BackendServer> suspects = context.fleet().servers().stream()
+                .filter(x -> ids.contains(x.id()))
+                .toList();
+        suspicionListener.enginesSuspected(suspects, context.clock().now());
+        keeper.reportSuspects(report.by(), suspects);
+    }
+
+    /**
+     * Reports engines that do not respond to this entry to all keepers, the one of this entry included, unless this
+     * entry is partitioned from the backend servers.
+     */
     void broadcastSuspects(List<BackendServer> suspects) {
+        if (partitioned.getAsBoolean()) {
+            return;
+        }
         InstanceId by = self.entry().instance();
         keeper.reportSuspects(by, suspects);
         List<InstanceId> ids = suspects.stream().map(BackendServer::id).toList();
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.baobabspindle.core.dispatch.Reachability;
 import org.baobabspindle.core.dispatch.ServerRateLimits;
 import org.baobabspindle.core.dispatch.TargetChooser;
@@ -32,6 +33,7 @@
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
+import org.baobabspindle.port.ForwardingHeaders;
 import org.baobabspindle.port.GatewaySettings;
 import org.baobabspindle.port.Platform;
 import org.baobabspindle.port.PlatformStore;
@@ -75,6 +77,11 @@
     /** Subtracted from the grace period, so that the process exits before it is killed. */
     private static final Duration GRACE_PERIOD_MARGIN = Duration.ofMillis(400);
 
+    /** How long a stopping entry waits for its last responses to be written; part of the margin. */
+    private static final Duration LAST_WRITE_TIMEOUT = Duration.ofMillis(200);
+
+    private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
+
     private static final FeedPoller.PollIntervals ENTRIES_POLL_INTERVALS =
             new FeedPoller.PollIntervals(Duration.ofSeconds(15), Duration.ofMillis(300));
 
@@ -85,6 +92,7 @@
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, r -> daemonThread(r, "timer"));
     private final ThreadPoolExecutor peerWorkers =
             (ThreadPoolExecutor) Executors.newFixedThreadPool(PEER_WORKERS, r -> daemonThread(r, "peer-worker"));
+    private final EntryRelay.Surroundings surroundings;
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
@@ -108,7 +116,11 @@
     private final KeeperCandidacy candidacy = new KeeperCandidacy(clock.now());
     private volatile boolean announced;
 
-    private GatewayNode(Platform platform, PlanPolicy policy) throws Exception {
+    /** Whether this entry was partitioned from the backend servers at the last check. */
+    private boolean wasPartitioned;
+
+    private GatewayNode(Platform platform, PlanPolicy policy, UnaryOperator<EntryRelay.Surroundings> adaptation)
+            throws Exception {
         settings = platform.settings();
         threads = new QueuedThreadPool(MAX_THREADS, 4);
         threads.setName("gateway");
@@ -121,7 +133,8 @@
         fleet = new FleetTable(platform.decoder(), log);
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
-        mesh = new PeerMesh(self, peerWorkers, traffic, log);
+        mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, log);
+        surroundings = adaptation.apply(new EntryRelay.Surroundings(reachability, mesh));
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
         Dispatcher dispatcher = new Dispatcher(
@@ -129,7 +142,7 @@
                 fleet,
                 new TargetChooser(settings.zone(), random.split()),
                 mesh::entryCount,
-                reachability::isPartitioned,
+                this::isPartitioned,
                 settings.bounds(),
                 threads);
         ServerNotices notices = new ServerNotices(clock, log, noticeListener(dispatcher));
@@ -140,7 +153,33 @@
                 platform.engines(probeClient, notices::probeResponseReceived),
                 this::reachabilityChanged);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
-        context = new GatewayContext(
+        context = createContext(dispatcher, notices, platform.headers(), random.split());
+        Duration timeToLive =
+                Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
+        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
+        keeper = new GroupKeeper(engines, settings, policy, lease, this::isPartitioned, clock, log, metrics);
+        gossip = new GatewayGossip(
+                self,
+                context,
+                mesh,
+                keeper,
+                this::isReady,
+                this::fleetChanged,
+                notices,
+                recent,
+                this::isFollower,
+                this::isPartitioned);
+        suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
+        gossip.setSuspicionListener(suspectProber::receiveSuspects);
+        crashGuard.peers(gossip);
+        server = new GatewayServer(settings, threads);
+        server.start(new GatewayHandler(
+                context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
+    }
+
+    private GatewayContext createContext(
+            Dispatcher dispatcher, ServerNotices notices, ForwardingHeaders headers, SplittableRandom random) {
+        return new GatewayContext(
                 clock,
                 fleet,
                 dispatcher,
@@ -148,25 +187,15 @@
                 notices,
                 reachability,
                 crashGuard,
-                platform.headers(),
+                new EntryRelay(surroundings, new PeerSecret(self.secret())),
+                headers,
                 shutdown,
                 log,
                 metrics,
-                new SynchronizedRandom(random.split()),
+                new SynchronizedRandom(random),
                 mesh::entryCount,
+                mesh::dispatchingEntryCount,
                 settings.bounds());
-        Duration timeToLive =
-                Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
-        lease = new KeeperLease(store, self.entry().toString(), timeToLive, clock, log);
-        keeper = new GroupKeeper(engines, settings, policy, lease, clock, log, metrics);
-        gossip = new GatewayGossip(
-                self, context, mesh, keeper, this::isReady, this::fleetChanged, notices, recent, this::isFollower);
-        suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
-        gossip.setSuspicionListener(suspectProber::receiveSuspects);
-        crashGuard.peers(gossip);
-        server = new GatewayServer(settings, threads);
-        server.start(new GatewayHandler(
-                context, settings.listeners(), platform.directory(), this::addresses, this::isReady, metrics));
     }
 
     private EnginePort observedEngines(Platform platform, ServerNotices notices) {
@@ -238,7 +267,7 @@
      * @throws Exception if the entry cannot start
      */
     public static void run(Platform platform, PlanPolicy policy) throws Exception {
-        GatewayNode node = new GatewayNode(platform, policy);
+        GatewayNode node = new GatewayNode(platform, policy, UnaryOperator.identity());
         Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
         HangupSignal.handle(() -> node.reload(platform));
         node.start();
@@ -247,7 +276,12 @@
 
     /** Starts an entry that runs until {@link #shutDown()}. */
     static GatewayNode open(Platform platform) throws Exception {
-        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
+        return open(platform, UnaryOperator.identity());
+    }
+
+    /** Starts an entry whose link to backend servers or other entries may be simulated. */
+    static GatewayNode open(Platform platform, UnaryOperator<EntryRelay.Surroundings> adaptation) throws Exception {
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN, adaptation);
         node.start();
         return node;
     }
@@ -271,7 +305,7 @@
      * @throws Exception if the entry cannot start or a request gets no response
      */
     public static void rehearse(Platform platform, List<String> urls) throws Exception {
-        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN);
+        GatewayNode node = new GatewayNode(platform, PlanPolicy.EVEN, UnaryOperator.identity());
         node.start();
         for (String url : urls) {
             int status = node.client.GET(url).getStatus();
@@ -332,6 +366,7 @@
         scheduleEvery(TICK_INTERVAL, () -> reachabilityProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> suspectProber.tick(clock.now()));
         scheduleEvery(TICK_INTERVAL, () -> crashGuard.tick(clock.now()));
+        scheduleEvery(TICK_INTERVAL, this::checkPartition);
         scheduleEvery(KEEPER_INTERVAL, this::runKeeper);
         scheduleEvery(SLOW_TARGET_CHECK_INTERVAL, this::logSlowTargets);
         scheduleEvery(LEASE_RENEWAL_INTERVAL, this::renewLease);
@@ -425,7 +460,10 @@
         Moment now = clock.now();
         fleet.applyDueServerChanges(now);
         Optional<FleetConfiguration> configuration = fleet.configuration();
-        if (configuration.isEmpty() || shutdown.inProgress() || lease.term(now).isEmpty()) {
+        if (configuration.isEmpty()
+                || shutdown.inProgress()
+                || isPartitioned()
+                || lease.term(now).isEmpty()) {
             return;
         }
         keeper.tick(
@@ -434,7 +472,7 @@
                         fleet.servers(),
                         mesh.totalDemand(context.dispatcher().demand(now), now),
                         mesh.stagingOfPeers(now),
-                        KeeperRanks.share(mesh.rankAmongAlive(now), mesh.aliveEntryCount(now))),
+                        KeeperRanks.share(mesh.rankAmongCandidates(now), mesh.candidateCount(now))),
                 now);
     }
 
@@ -456,16 +494,34 @@
         }
     }
 
-    private void renewLease() {
+    private synchronized void renewLease() {
         if (!fleet.isComplete() || shutdown.inProgress()) {
             return;
         }
         Moment now = clock.now();
         candidacy
-                .decide(mesh.rankAmongAlive(now), lease.holdsAnyPartition(), now)
+                .decide(mesh.rankAmongCandidates(now), lease.holdsAnyPartition(), isPartitioned(), now)
                 .apply(lease);
     }
 
+    /**
+     * Releases or requests the lease and informs the other entries at once when a partition from the backend servers
+     * begins or ends.
+     */
+    private void checkPartition() {
+        boolean partitionedNow = isPartitioned();
+        if (partitionedNow != wasPartitioned) {
+            wasPartitioned = partitionedNow;
+            keeper.discardSuspicions();
+            renewLease();
+            gossip.exchangeStateWithAll();
+        }
+    }
+
+    private boolean isPartitioned() {
+        return surroundings.link().isPartitioned();
+    }
+
     private boolean isReady() {
         return fleet.isComplete() && announced && !shutdown.inProgress();
     }
@@ -476,7 +532,7 @@
 
     /**
      * Shuts the entry down: releases the lease, reports to peers that it is not ready, keeps serving requests until
-     * callers have left, and returns before the grace period ends.
+     * callers have left, and returns before the grace period ends. Requests that are then still in progress are refused.
      */
     void stop() {
         Moment startedAt = clock.now();
@@ -484,22 +540,41 @@
         log.write("stop", "shutting down", "active", context.active().size());
         lease.release();
         gossip.exchangeState();
-        Duration maxDuration = settings.bounds().gracePeriod().minus(GRACE_PERIOD_MARGIN);
-        Moment lastActive = startedAt;
         try {
-            while (clock.now().since(startedAt).compareTo(maxDuration) < 0) {
-                Moment now = clock.now();
-                if (!context.active().isEmpty() || !shutdown.refusesNewRequests(false, now)) {
-                    lastActive = now;
-                }
-                if (now.since(lastActive).compareTo(IDLE_BEFORE_EXIT) > 0) {
-                    break;
-                }
-                TimeUnit.MILLISECONDS.sleep(50);
-            }
+            serveUntilCallersHaveLeft(startedAt);
+            int unfinished = context.active().size();
+            context.active().forEach(x -> x.endWithProcess(clock.now()));
+            awaitLastWrites(clock.now());
+            log.write(
+                    "stop",
+                    "done",
+                    "active",
+                    unfinished,
+                    "unwritten",
+                    context.active().size());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.write("stop", "done", "active", context.active().size());
+    }
+
+    private void serveUntilCallersHaveLeft(Moment startedAt) throws InterruptedException {
+        Duration maxDuration = settings.bounds().gracePeriod().minus(GRACE_PERIOD_MARGIN);
+        Moment lastActive = startedAt;
+        while (clock.now().since(startedAt).compareTo(maxDuration) < 0) {
+            Moment now = clock.now();
+            if (!context.active().isEmpty() || !shutdown.refusesNewRequests(false, now)) {
+                lastActive = now;
+            }
+            if (now.since(lastActive).compareTo(IDLE_BEFORE_EXIT) > 0) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL.toMillis());
+        }
+    }
+
+    private void awaitLastWrites(Moment since) throws InterruptedException {
+        while (!context.active().isEmpty() && clock.now().since(since).compareTo(LAST_WRITE_TIMEOUT) < 0) {
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL.toMillis());
+        }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/KeeperLease.java
@@ -38,7 +38,12 @@
     private Moment usableFrom;
     private long generation;
     private OptionalLong era = OptionalLong.empty();
-    private boolean renewing;
+
+    /** The calls to the store that are pending; it may receive concurrent ones in any order. */
+    private int pendingCalls;
+
+    /** How often partitions were acquired so far; a term that was requested before the last time is ignored. */
+    private int acquisitionCount;
 
     /** The number of releases so far; a grant that was requested before a release is ignored. */
     private int releaseCount;
@@ -58,18 +63,23 @@
         long knownGeneration;
         int requestReleaseCount;
         synchronized (this) {
-            if (renewing) {
+            if (pendingCalls > 0) {
                 return;
             }
-            renewing = true;
+            pendingCalls++;
             knownGeneration = generation;
             requestReleaseCount = releaseCount;
         }
         store.renewLease(member, timeToLive, knownGeneration).whenComplete((grant, failure) -> {
+            boolean releasedMeanwhile;
             synchronized (this) {
-                renewing = false;
+                releasedMeanwhile = requestReleaseCount != releaseCount;
+                pendingCalls -= releasedMeanwhile ? 0 : 1;
             }
-            if (failure == null) {
+            if (releasedMeanwhile) {
+                // The store may have received the release first, and hold the partitions for this entry.
+                releaseAtStore();
+            } else if (failure == null) {
                 grantReceived(grant, requestedAt, requestReleaseCount);
             }
         });
@@ -77,6 +87,7 @@
 
     private void grantReceived(LeaseGrant grant, Moment requestedAt, int requestReleaseCount) {
         boolean termNeeded;
+        int requestAcquisitionCount;
         synchronized (this) {
             if (requestReleaseCount != releaseCount) {
                 return;
@@ -96,18 +107,23 @@
             }
             partitions = grant.partitions();
             if (termNeeded) {
+                acquisitionCount++;
                 term = Optional.empty();
                 Moment earliest = clock.now().plus(restored ? timeToLive : HANDOVER_DELAY);
                 usableFrom = usableFrom.isBefore(earliest) ? earliest : usableFrom;
             }
             termNeeded = term.isEmpty() && !partitions.isEmpty();
+            requestAcquisitionCount = acquisitionCount;
         }
         if (termNeeded) {
-            store.nextTerm(member).whenComplete((t, failure) -> termReceived(t, failure));
+            store.nextTerm(member).whenComplete((t, failure) -> termReceived(t, failure, requestAcquisitionCount));
         }
     }
 
-    private synchronized void termReceived(Long newTerm, Throwable failure) {
+    private synchronized void termReceived(Long newTerm, Throwable failure, int requestAcquisitionCount) {
+        if (requestAcquisitionCount != acquisitionCount) {
+            return;
+        }
         if (failure == null) {
             term = Optional.of(newTerm);
             log.write("lease", "new term obtained", "term", newTerm);
@@ -142,11 +158,16 @@
             partitions = Set.of();
             term = Optional.empty();
             releaseCount++;
-            renewing = true;
+            pendingCalls++;
         }
+        releaseAtStore();
+    }
+
+    /** Sends a release, which already counts as a pending call. */
+    private void releaseAtStore() {
         store.releaseLease(member).whenComplete((done, failure) -> {
             synchronized (this) {
-                renewing = false;
+                pendingCalls--;
             }
             log.write(
                     "lease",
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -11,9 +11,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
+import org.baobabspindle.core.dispatch.RelayPeerChooser;
 import org.baobabspindle.core.group.Rendezvous;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
@@ -32,7 +36,7 @@
 /**
  * Tracks the other entries (peers): their announcements, which of them are responsive, and their last received state.
  */
-final class PeerMesh {
+final class PeerMesh implements RelayPeers {
     /**
      * How long the weight loads of an entry are counted after its last response, which is the time of three of the
      * longest loads: all that it had started are complete by then.
@@ -52,6 +56,7 @@
     private static final int MAX_ADDRESSES = 64;
 
     private final EntryAnnouncement self;
+    private final BooleanSupplier partitioned;
     private final PeerClient client;
     private final EventLog log;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
@@ -63,6 +68,7 @@
         private Optional<Moment> lastResponseAt = Optional.empty();
         private boolean ready;
         private boolean follower;
+        private boolean partitioned;
         private boolean requestPending;
         private long lastRequestRound;
         private Map<String, Double> demand = Map.of();
@@ -71,6 +77,14 @@
         Peer(EntryAnnouncement entry) {
             this.entry = entry;
         }
+
+        void update(PeerMessage.Pulse pulse) {
+            ready = pulse.ready();
+            follower = pulse.follows();
+            partitioned = pulse.partitioned();
+            demand = pulse.demand();
+            staging = pulse.staging();
+        }
     }
 
     /** Receives the state of another entry. */
@@ -78,8 +92,9 @@
         void stateReceived(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment requestedAt, Moment now);
     }
 
-    PeerMesh(EntryAnnouncement self, Executor workers, PeerTraffic traffic, EventLog log) {
+    PeerMesh(EntryAnnouncement self, BooleanSupplier partitioned, Executor workers, PeerTraffic traffic, EventLog log) {
         this.self = self;
+        this.partitioned = partitioned;
         this.client = new PeerClient(self.entry(), this::secret, workers, traffic);
         this.log = log;
     }
@@ -122,7 +137,17 @@
 
     /** Exchanges state with the least recently queried peers that have no pending request. */
     void exchangeState(PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
-        for (Peer p : selectPeersToQuery()) {
+        exchangeState(selectPeersToQuery(), localState, clock, listener);
+    }
+
+    /** Exchanges state with all responsive peers, whether or not they have a pending request with an earlier state. */
+    void exchangeStateWithAll(PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
+        exchangeState(alivePeers(clock.now()), localState, clock, listener);
+    }
+
+    private void exchangeState(
+            List<Peer> receivers, PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
+        for (Peer p : receivers) {
             Moment requestedAt = clock.now();
             PeerMessage request = new PeerMessage.PulseAsk(self.entry(), localState);
             client.ask(p.entry.peerAddress(), request, REQUEST_TIMEOUT).whenComplete((answer, failure) -> {
@@ -156,20 +181,14 @@
             log.write("peer", "first response from the entry", "entry", p.entry.entry());
         }
         p.lastResponseAt = Optional.of(now);
-        p.ready = pulse.ready();
-        p.follower = pulse.follows();
-        p.demand = pulse.demand();
-        p.staging = pulse.staging();
+        p.update(pulse);
     }
 
     /** Updates the state of a peer with the state that its request carried. */
     synchronized void stateReceived(Incarnation from, PeerMessage.Pulse pulse) {
         Peer p = peers.get(from.instance());
         if (p != null && p.entry.entry().equals(from)) {
-            p.ready = pulse.ready();
-            p.follower = pulse.follows();
-            p.demand = pulse.demand();
-            p.staging = pulse.staging();
+            p.update(pulse);
         }
     }
 
@@ -256,15 +275,54 @@
         return peers.size() + 1;
     }
 
-    /** Returns the number of responsive entries, this one included. */
-    int aliveEntryCount(Moment now) {
-        return alivePeers(now).size() + 1;
+    /** Returns the peers that are responsive and not partitioned from the backend servers. */
+    private synchronized List<Peer> connectedPeers(Moment now) {
+        List<Peer> result = new ArrayList<>(alivePeers(now));
+        result.removeIf(p -> p.partitioned);
+        return result;
+    }
+
+    /** Returns whether an entry said last that it is partitioned from the backend servers. */
+    synchronized boolean isPartitioned(InstanceId entry) {
+        Peer p = peers.get(entry);
+        return p != null && p.partitioned;
+    }
+
+    @Override
+    public Optional<EntryAnnouncement> relayPeer(
+            Set<InstanceId> except, ToIntFunction<InstanceId> outstanding, Moment now) {
+        Map<InstanceId, EntryAnnouncement> entries = new HashMap<>();
+        List<RelayPeerChooser.Candidate> candidates = new ArrayList<>();
+        for (Peer p : connectedPeers(now)) {
+            InstanceId id = p.entry.entry().instance();
+            if (p.ready && !except.contains(id)) {
+                entries.put(id, p.entry);
+                candidates.add(new RelayPeerChooser.Candidate(
+                        id, p.entry.zone().equals(self.zone()), outstanding.applyAsInt(id)));
+            }
+        }
+        return RelayPeerChooser.choose(candidates, new SplittableRandom(now.monotonicNanos()))
+                .map(entries::get);
+    }
+
+    /**
+     * Returns the number of entries that send requests to backend servers, at least 1: the known ones, whether they are
+     * responsive or not, except those that are partitioned from the backend servers.
+     */
+    synchronized int dispatchingEntryCount(Moment now) {
+        int partitionedPeers = alivePeers(now).size() - connectedPeers(now).size();
+        return Math.max(1, entryCount() - partitionedPeers - (partitioned.getAsBoolean() ? 1 : 0));
+    }
+
+    /** Returns the number of candidates for a keeper, this entry included. */
+    int candidateCount(Moment now) {
+        return connectedPeers(now).size() + 1;
     }
 
     /**
-     * Returns the entries that share limits of backend servers, this one included: those that are responsive and ready.
-     * An entry that has lost contact to half of the others shares with all that were responsive a short time ago, since
-     * those may still send requests.
+     * Returns the entries that share limits of backend servers, this one included: those that are responsive, ready and
+     * not partitioned from the backend servers. An entry that has lost contact to half of the others shares with all that
+     * were responsive a short time ago, since those may still send requests.
      */
     synchronized Set<InstanceId> sharingEntries(Moment now) {
         Set<InstanceId> recent = new HashSet<>(Set.of(self.entry().instance()));
@@ -279,13 +337,21 @@
         alivePeers(now).stream()
                 .filter(p -> p.ready)
                 .forEach(p -> responsive.add(p.entry.entry().instance()));
-        return responsive.size() * 2 > recent.size() ? responsive : recent;
+        if (responsive.size() * 2 <= recent.size()) {
+            return recent;
+        }
+        responsive.removeIf(this::isPartitioned);
+        return responsive;
     }
 
-    /** Returns the rank of this entry among the responsive entries as a candidate for a keeper. */
-    int rankAmongAlive(Moment now) {
-        List<InstanceId> others =
-                alivePeers(now).stream().map(p -> p.entry.entry().instance()).toList();
+    /**
+     * Returns the rank of this entry among the candidates for a keeper: the entries that are responsive and not
+     * partitioned from the backend servers.
+     */
+    int rankAmongCandidates(Moment now) {
+        List<InstanceId> others = connectedPeers(now).stream()
+                .map(p -> p.entry.entry().instance())
+                .toList();
         return KeeperRanks.rank(self.entry().instance(), others);
     }
 
@@ -322,17 +388,13 @@
         return result;
     }
 
-    /** Returns addresses of ready entries in random order, only those of the caller's zone if there are enough. */
+    /**
+     * Returns addresses of ready entries in random order, only those of the caller's zone if there are enough. Entries
+     * that are partitioned from the backend servers are left out unless all ready entries are.
+     */
     List<String> addresses(Optional<AvailabilityZone> zone, boolean selfReady, Moment now) {
-        List<EntryAnnouncement> ready = new ArrayList<>();
-        if (selfReady) {
-            ready.add(self);
-        }
-        for (Peer p : alivePeers(now)) {
-            if (p.ready) {
-                ready.add(p.entry);
-            }
-        }
+        List<EntryAnnouncement> reachable = readyEntries(selfReady, false, now);
+        List<EntryAnnouncement> ready = reachable.isEmpty() ? readyEntries(selfReady, true, now) : reachable;
         List<EntryAnnouncement> inZone = ready.stream()
                 .filter(e -> zone.filter(e.zone()::equals).isPresent())
                 .toList();
@@ -343,4 +405,18 @@
                 .map(EntryAnnouncement::callerAddress)
                 .toList();
     }
+
+    /** Returns the ready entries that are partitioned from the backend servers, or those that are not. */
+    private List<EntryAnnouncement> readyEntries(boolean selfReady, boolean partitionedOnes, Moment now) {
+        List<EntryAnnouncement> result = new ArrayList<>();
+        if (selfReady && partitioned.getAsBoolean() == partitionedOnes) {
+            result.add(self);
+        }
+        for (Peer p : alivePeers(now)) {
+            if (p.ready && p.partitioned == partitionedOnes) {
+                result.add(p.entry);
+            }
+        }
+        return result;
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
@@ -24,7 +24,7 @@
  * Observes the traffic with backend servers and tells whether this entry is partitioned from all of them. Lock order:
  * its lock is acquired after all others.
  */
-final class ReachabilityMonitor {
+final class ReachabilityMonitor implements BackendLink {
     private final GatewayClock clock;
     private final EventLog log;
     private final BackendReachability reachability = new BackendReachability();
@@ -44,13 +44,13 @@
         return state;
     }
 
-    /** Returns whether this entry is partitioned from all backend servers. */
-    boolean isPartitioned() {
+    @Override
+    public boolean isPartitioned() {
         return state == Reachability.PARTITIONED;
     }
 
-    /** Returns whether any backend server was heard from at a time or later. */
-    boolean heardSince(Moment since) {
+    @Override
+    public boolean heardSince(Moment since) {
         return heardFromOthersSince(since, Set.of());
     }
 
@@ -62,7 +62,8 @@
     }
 
     /** Returns whether a request that could not be sent to a server is likely to fail at others as well. */
-    synchronized boolean othersFail(BackendServer server) {
+    @Override
+    public synchronized boolean othersFail(BackendServer server) {
         return reachability.othersFail(server.id());
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -0,0 +1,230 @@
+package org.baobabspindle.gateway;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabspindle.core.dispatch.RelayPolicy;
+import org.baobabspindle.core.dispatch.RelayPolicy.CallAction;
+import org.baobabspindle.core.dispatch.RelayPolicy.Path;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+
+/**
+ * What has been tried for one request, and what may be tried next: at backend servers, or through other entries. Guarded
+ * by the lock of its exchange.
+ */
+final class RequestProgress {
+    /** The number of targets that may refuse a request or be unreachable before it is given up. */
+    private static final int MAX_REFUSALS = 3;
+
+    /** The number of times that a request may be relayed. */
+    private static final int MAX_RELAYS = 3;
+
+    private final GatewayContext context;
+    private final CallerAdmission admission;
+    private final Set<String> triedTargets = new HashSet<>();
+    private final Set<InstanceId> failedEntries = new HashSet<>();
+    private Optional<EntryAnnouncement> nextEntry = Optional.empty();
+    private int attempts;
+    private int refusals;
+    private int unreachable;
+    private int relays;
+
+    /** The server of the last call if that has failed. */
+    private Optional<BackendServer> failedServer = Optional.empty();
+
+    /** Whether the retry after the current call has been acquired already. */
+    private boolean retryGranted;
+
+    RequestProgress(GatewayContext context, CallerAdmission admission) {
+        this.context = context;
+        this.admission = admission;
+    }
+
+    /** Returns the number of backend servers that may have run the request. */
+    int attempts() {
+        return attempts;
+    }
+
+    boolean mayHaveRun() {
+        return attempts > 0;
+    }
+
+    /** Returns the keys of the targets to which the request was sent. */
+    Set<String> triedTargets() {
+        return triedTargets;
+    }
+
+    /** Returns whether a backend server was already asked to run the request. */
+    boolean hasBeenSent() {
+        return attempts + refusals > 0;
+    }
+
+    /** The request is about to be sent. */
+    void sendingTo(Destination destination) {
+        destination.server().ifPresent(s -> triedTargets.add(destination.key()));
+        retryGranted = false;
+        failedServer = Optional.empty();
+    }
+
+    /** A backend server may have run the request. */
+    void recordAttempt() {
+        attempts++;
+    }
+
+    /** A backend server did not run the request. */
+    void recordRefusal() {
+        refusals++;
+    }
+
+    /** The request could not be sent. */
+    void recordUnreachable(Destination destination) {
+        if (destination.server().isPresent()) {
+            refusals++;
+            unreachable++;
+        }
+        recordFailure(destination);
+    }
+
+    /** A call has failed. If the destination is an entry, it does not get the request again. */
+    void recordFailure(Destination destination) {
+        destination.entry().ifPresent(e -> failedEntries.add(e.id()));
+        failedServer = destination.server();
+    }
+
+    /** Returns whether other servers have failed at the same time as the last one. */
+    private boolean othersFail() {
+        return failedServer.filter(s -> context.relay().link().othersFail(s)).isPresent();
+    }
+
+    /** Chooses the path of the request, and the entry if it is to be relayed. */
+    Path choosePath(boolean responseBegun, Moment now) {
+        boolean partitioned = isPartitioned();
+        if (!partitioned && unreachable == 0 && failedServer.isEmpty()) {
+            return Path.DIRECT;
+        }
+        nextEntry = findEntry(now);
+        return RelayPolicy.path(pending(responseBegun), partitioned, nextEntry.isPresent());
+    }
+
+    private Optional<EntryAnnouncement> findEntry(Moment now) {
+        return relays >= MAX_RELAYS ? Optional.empty() : context.relay().nextEntry(failedEntries, now);
+    }
+
+    private RelayPolicy.PendingRequest pending(boolean responseBegun) {
+        return new RelayPolicy.PendingRequest(admission.relayed(), unreachable, othersFail(), responseBegun);
+    }
+
+    boolean isPartitioned() {
+        return context.relay().link().isPartitioned();
+    }
+
+    /**
+     * Relays the request to the entry that was chosen last. One backend server may run it, since it would be unknown how
+     * many have run it if the entry did not answer.
+     */
+    EntryDestination relay() {
+        relays++;
+        return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1));
+    }
+
+    /**
+     * Returns whether a retry waits until it is known whether the last server has crashed, or whether this entry is
+     * partitioned. What a partitioned entry suspects of a request does not matter to other entries.
+     */
+    boolean awaitsEvidence(Path path, Moment now) {
+        if (path == Path.RELAY && isPartitioned()) {
+            return false;
+        }
+        return context.quarantine().awaitsInvestigation(admission::suspect, now)
+                || (othersFail() && admission.checkQuarantine(now).isPresent());
+    }
+
+    /**
+     * Returns whether the request may be sent again after its call has ended.
+     *
+     * @param budgeted whether the retry is taken out of the retry budget
+     */
+    boolean tryRetry(Path path, boolean budgeted, Moment now) {
+        return isAllowed(path, now)
+                && attempts < admission.maxAttempts()
+                && (!budgeted || retryGranted || takeFromBudget(now));
+    }
+
+    private boolean isAllowed(Path path, Moment now) {
+        boolean allowed =
+                switch (path) {
+                    case DIRECT -> refusals < MAX_REFUSALS
+                            && admission.checkQuarantine(now).isEmpty();
+                    case RELAY -> isPartitioned()
+                            || admission.checkQuarantine(now).isEmpty();
+                    case NONE -> false;
+                };
+        return allowed && now.isBefore(admission.deadline());
+    }
+
+    /** Returns whether the request may be sent again because the server responded with an error. */
+    boolean tryRetryServerError(Path path, Moment now) {
+        return isRepeatable()
+                && attempts < admission.maxAttempts()
+                && now.isBefore(admission.deadline())
+                && (path == Path.RELAY || hasFreeTargetElsewhere(now))
+                && takeFromBudget(now);
+    }
+
+    /** Returns whether the request of a call in progress can be repeated by another server now, and acquires it. */
+    boolean tryAcquireRetry(Path path, Moment now) {
+        retryGranted = retryGranted
+                || (isRepeatable()
+                        && attempts + 1 < admission.maxAttempts()
+                        && isAllowed(path, now)
+                        && admission.checkKey(now).isEmpty()
+                        && (path == Path.RELAY || hasFreeTargetElsewhere(now))
+                        && takeFromBudget(now));
+        return retryGranted;
+    }
+
+    /** Returns whether the retry after the current call has been acquired already. */
+    boolean retryGranted() {
+        return retryGranted;
+    }
+
+    private boolean hasFreeTargetElsewhere(Moment now) {
+        return context.dispatcher().hasFreeTarget(admission.pool().orElseThrow(), triedTargets, now);
+    }
+
+    boolean isRepeatable() {
+        return admission.route().orElseThrow().repeatable();
+    }
+
+    private boolean takeFromBudget(Moment now) {
+        return context.tryRetry(admission.pool().orElseThrow().service(), now);
+    }
+
+    /**
+     * Returns the action that interrupts a call in progress if this entry is partitioned, to be run without the lock.
+     *
+     * @param lastReceivedAt when the call last received something, or began
+     */
+    Runnable interruption(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
+        CallAction action = retryGranted ? CallAction.KEEP : chooseAction(call, responseBegun, lastReceivedAt, now);
+        if (action == CallAction.WITHDRAW) {
+            return () -> call.withdraw("partitioned from backend servers");
+        }
+        return action == CallAction.MOVE && tryAcquireRetry(Path.RELAY, now)
+                ? () -> call.cancel("partitioned from backend servers")
+                : () -> {};
+    }
+
+    private CallAction chooseAction(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
+        RelayPolicy.CallInProgress inProgress = new RelayPolicy.CallInProgress(
+                call.isSent(),
+                call.destination().server().isPresent(),
+                isRepeatable() && attempts + 1 < admission.maxAttempts(),
+                lastReceivedAt,
+                context.relay().link().heardSince(now.minus(RelayPolicy.MIN_SILENCE)));
+        boolean entryAvailable = findEntry(now).isPresent();
+        return RelayPolicy.action(pending(responseBegun), inProgress, isPartitioned(), entryAvailable, now);
+    }
+}
