--- a/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
@@ -63,6 +63,10 @@
     private final AtomicLong bytesToServer = new AtomicLong();
     private volatile ServerSocket listener;
     private boolean accepting = true;
+
+    /** Whether the thread that accepts connections has stopped to do so. */
+    private boolean paused;
+
     private boolean holding;
     private boolean closed;
 
@@ -133,8 +137,11 @@
 
     private synchronized void awaitAccepting() throws InterruptedException {
         while (!accepting && !closed) {
+            paused = true;
+            notifyAll();
             wait();
         }
+        paused = false;
     }
 
     private synchronized void holdBytes() {
@@ -146,16 +153,39 @@
         synchronized (this) {
             accepting = false;
         }
-        while (true) {
-            Socket s = new Socket();
+        // The thread that accepts stops after one more connection, which would leave a place in the queue.
+        connectFiller();
+        awaitPaused();
+        while (connectFiller()) {
+            // The queue has another place.
+        }
+    }
+
+    /** Connects to the link without sending anything; returns false if the connection hangs. */
+    private boolean connectFiller() throws IOException {
+        Socket s = new Socket();
+        try {
+            s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port()), HANG_TIMEOUT_MILLIS);
+            fillers.add(s);
+            return true;
+        } catch (SocketTimeoutException e) {
+            s.close();
+            return false;
+        }
+    }
+
+    private synchronized void awaitPaused() {
+        boolean interrupted = false;
+        while (!paused) {
             try {
-                s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port()), HANG_TIMEOUT_MILLIS);
-                fillers.add(s);
-            } catch (SocketTimeoutException e) {
-                s.close();
-                return;
+                wait();
+            } catch (InterruptedException e) {
+                interrupted = true;
             }
         }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void resetConnections() {
