--- a/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/CuttableLink.java
@@ -27,34 +27,29 @@
     /** How connections fail while the link is cut. */
     enum Cut {
         /** Existing connections stay open without passing a byte; new ones hang. */
-        SILENT(true) {
+        SILENT {
             @Override
             void apply(CuttableLink link) throws IOException {
                 link.hangNewConnections();
+                link.holdBytes();
             }
         },
         /** Existing connections are reset; new ones hang. */
-        RESET(true) {
+        RESET {
             @Override
             void apply(CuttableLink link) throws IOException {
-                link.resetConnections();
                 link.hangNewConnections();
+                link.resetConnections();
             }
         },
         /** Existing connections go on; new ones are refused. */
-        REFUSE(false) {
+        REFUSE {
             @Override
             void apply(CuttableLink link) throws IOException {
                 link.listener.close();
             }
         };
 
-        private final boolean holdsBytes;
-
-        Cut(boolean holdsBytes) {
-            this.holdsBytes = holdsBytes;
-        }
-
         abstract void apply(CuttableLink link) throws IOException;
     }
 
@@ -68,6 +63,10 @@
     private final AtomicLong bytesToServer = new AtomicLong();
     private volatile ServerSocket listener;
     private boolean accepting = true;
+
+    /** Whether the thread that accepts connections has stopped to do so. */
+    private boolean paused;
+
     private boolean holding;
     private boolean closed;
 
@@ -103,10 +102,6 @@
 
     /** Cuts the link until {@link #heal()}. */
     void cut(Cut cut) throws IOException {
-        synchronized (this) {
-            holding = cut.holdsBytes;
-            accepting = !cut.holdsBytes;
-        }
         cut.apply(this);
     }
 
@@ -142,22 +137,55 @@
 
     private synchronized void awaitAccepting() throws InterruptedException {
         while (!accepting && !closed) {
+            paused = true;
+            notifyAll();
             wait();
         }
+        paused = false;
     }
 
-    /** Fills the accept queue, which is not emptied any more, so that further connections get no response. */
+    private synchronized void holdBytes() {
+        holding = true;
+    }
+
+    /** Stops accepting and fills the accept queue, so that further connections get no response. */
     private void hangNewConnections() throws IOException {
-        while (true) {
-            Socket s = new Socket();
+        synchronized (this) {
+            accepting = false;
+        }
+        // The thread that accepts stops after one more connection, which would leave a place in the queue.
+        connectFiller();
+        awaitPaused();
+        while (connectFiller()) {
+            // The queue has another place.
+        }
+    }
+
+    /** Connects to the link without sending anything; returns false if the connection hangs. */
+    private boolean connectFiller() throws IOException {
+        Socket s = new Socket();
+        try {
+            s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port()), HANG_TIMEOUT_MILLIS);
+            fillers.add(s);
+            return true;
+        } catch (SocketTimeoutException e) {
+            s.close();
+            return false;
+        }
+    }
+
+    private synchronized void awaitPaused() {
+        boolean interrupted = false;
+        while (!paused) {
             try {
-                s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port()), HANG_TIMEOUT_MILLIS);
-                fillers.add(s);
-            } catch (SocketTimeoutException e) {
-                s.close();
-                return;
+                wait();
+            } catch (InterruptedException e) {
+                interrupted = true;
             }
         }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void resetConnections() {
