--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -65,7 +65,7 @@
     }
 
     /** Starts a gateway whose surroundings may be simulated, before backend servers that follow the scripts. */
-    private void start(
+    void start(
             FleetConfiguration configuration,
             UnaryOperator<EntryRelay.Surroundings> adaptation,
             RawBackend.Script... scripts)
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -9,9 +9,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.baobabspindle.peer.PeerSecret;
@@ -26,6 +28,8 @@
     /** The slots of each backend server. */
     private static final int SLOTS = server("b1", 1).slots();
 
+    private static final RelayMark NEW = new RelayMark(1, RelayMark.Stage.NEW);
+
     private final SwitchedLink link = new SwitchedLink();
     private final SwitchedLink otherLink = new SwitchedLink();
 
@@ -223,9 +227,9 @@
             return request(path).header(RelayMark.HEADER, mark).GET().build();
         }
 
-        private String signedMark(int attempts) {
-            return new RelayMark(attempts, RelayMark.Stage.NEW)
-                    .format("r1", new PeerSecret(platform.announcement("entry").secret()));
+        private String signedMark(RelayMark mark) {
+            return mark.format(
+                    "r1", new PeerSecret(platform.announcement("entry").secret()));
         }
 
         private HttpResponse<String> send(HttpRequest r) throws Exception {
@@ -236,16 +240,43 @@
         void relayedRequestIsRunByNoMoreServersThanTheMarkAllows() throws Exception {
             RawBackend.Script fails = (request, out, socket) -> RawBackend.reset(socket);
             start(fails, fails);
-            HttpResponse<String> response = send(marked("/safe/x", signedMark(1)));
+            HttpResponse<String> response = send(marked("/safe/x", signedMark(NEW)));
             assertThat(response.statusCode()).isEqualTo(502);
             assertThat(response.headers().firstValue(RelayMark.REFUSAL_HEADER)).hasValue("BROKEN");
             assertThat(requestCount()).isEqualTo(1);
         }
 
+        /** A new request is refused at once if the queue is so long that it would not get a slot in time. */
+        @Test
+        void retryWaitsLongerThanANewRequest() throws Exception {
+            CountDownLatch end = new CountDownLatch(1);
+            start(configuration(Duration.ofSeconds(10)), link::replaceIn, (request, out, socket) -> {
+                end.await();
+                RawBackend.write(out, plain(request, "done"));
+            });
+            for (int i = 0; i < 5 * SLOTS; i++) {
+                http.sendAsync(request("/safe/x").GET().build(), HttpResponse.BodyHandlers.ofString());
+            }
+            await(() -> requestCount() == SLOTS);
+            awaitTicks();
+            CompletableFuture<HttpResponse<String>> retry = http.sendAsync(
+                    marked("/safe/x", signedMark(new RelayMark(1, RelayMark.Stage.RETRIED))),
+                    HttpResponse.BodyHandlers.ofString());
+            awaitTicks();
+            end.countDown();
+            assertThat(retry.get().statusCode()).isEqualTo(200);
+        }
+
+        /** Waits until each request has been checked several times. */
+        private void awaitTicks() throws InterruptedException {
+            int before = link.queries();
+            await(() -> link.queries() - before > 3 * 5 * SLOTS);
+        }
+
         @Test
         void relayedRequestIsNotRelayedAgain() throws Exception {
             startPartitioned(DONE);
-            HttpResponse<String> response = send(marked("/safe/x", signedMark(1)));
+            HttpResponse<String> response = send(marked("/safe/x", signedMark(NEW)));
             assertThat(response.statusCode()).isEqualTo(503);
             assertThat(response.headers().firstValue(RelayMark.REFUSAL_HEADER)).hasValue("PARTITIONED");
             assertThat(requestCount()).isEqualTo(0);
