--- a/entry/src/main/java/org/baobabspindle/gateway/ResponseHeaders.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ResponseHeaders.java
@@ -7,7 +7,7 @@
 
 /** Selects the headers of a backend server's response that are forwarded to the caller. */
 final class ResponseHeaders {
-    /** Headers that apply to a single connection, or that this entry's HTTP server sets itself. */
+    /** Headers that apply to a single connection, or that an entry sets itself. */
     private static final Set<String> NOT_COPIED = Set.of(
             "connection",
             "keep-alive",
@@ -18,7 +18,8 @@
             "content-length",
             "retry-after",
             "date",
-            "server");
+            "server",
+            RelayMark.REFUSAL_HEADER.toLowerCase(Locale.ROOT));
 
     private ResponseHeaders() {}
 
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -122,6 +122,18 @@
             await(() -> backends.get(0).closedByGateway() == 1);
         }
 
+        @Test
+        void answerThatNamesARefusalIsDelivered() throws Exception {
+            startPartitioned((request, out, socket) -> RawBackend.write(
+                    out,
+                    plain(request, "done")
+                            .replace("Stamp: s", "Stamp: s\r\n" + RelayMark.REFUSAL_HEADER + ": STOPPING")));
+            HttpResponse<String> response = post("/unsafe/x");
+            assertThat(response.statusCode()).isEqualTo(200);
+            assertThat(response.body()).isEqualTo("done");
+            assertThat(requestCount()).isEqualTo(1);
+        }
+
         @Test
         void refusesIfTheOtherEntryIsPartitionedToo() throws Exception {
             startPartitioned(DONE);
