--- a/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/BackendReachability.java
@@ -269,6 +269,17 @@
                                 .isPresent());
     }
 
+    /**
+     * Returns whether any server was heard from within an observed time, as far as servers were expected to send. After a
+     * pause of the process, bytes may have arrived that were not read yet.
+     *
+     * @param observed the observed time
+     * @return whether the silence is shorter
+     */
+    public boolean heardWithin(Duration observed) {
+        return silence.compareTo(observed) < 0;
+    }
+
     /**
      * Returns whether a server was heard from.
      *
--- a/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
@@ -68,6 +68,10 @@
         }
     }
 
+    private boolean heardRecently() {
+        return reachability.heardWithin(RelayPolicy.MIN_SILENCE);
+    }
+
     private void fail(InstanceId... servers) {
         for (InstanceId s : servers) {
             reachability.failed(s, now, now);
@@ -166,6 +170,18 @@
             assertReachable();
         }
 
+        /** The bytes that arrived during the pause may not have been read yet. */
+        @Test
+        void thatWasInterruptedByAPauseOfTheProcessIsNotLong() {
+            stream(A, B, C);
+            tick();
+            pass(Duration.ofSeconds(5));
+            tick();
+            assertThat(heardRecently()).isTrue();
+            ticks(4);
+            assertThat(heardRecently()).isFalse();
+        }
+
         @Test
         void isMeasuredByTheTimeOfFrequentTicks() {
             stream(A, B, C);
--- a/entry/src/main/java/org/baobabspindle/gateway/BackendLink.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendLink.java
@@ -1,7 +1,7 @@
 package org.baobabspindle.gateway;
 
+import java.time.Duration;
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.time.Moment;
 
 /** Tells whether this entry reaches backend servers. */
 interface BackendLink {
@@ -11,6 +11,6 @@
     /** Returns whether servers other than one have recently failed as well, with no sign of reachability since. */
     boolean othersFail(BackendServer server);
 
-    /** Returns whether any backend server was heard from after a time. */
-    boolean heardSince(Moment since);
+    /** Returns whether any backend server was heard from within an observed time; pauses of this process do not count. */
+    boolean heardWithin(Duration observed);
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.channels.ClosedChannelException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -50,8 +51,8 @@
     }
 
     @Override
-    public boolean heardSince(Moment since) {
-        return heardFromOthersSince(since, Set.of());
+    public synchronized boolean heardWithin(Duration observed) {
+        return reachability.heardWithin(observed);
     }
 
     /** Returns whether a backend server other than some was heard from at a time or later. */
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -233,7 +233,7 @@
                 call.destination().server().isPresent(),
                 isRepeatable() && attempts + 1 < admission.maxAttempts(),
                 lastReceivedAt,
-                context.relay().link().heardSince(now.minus(RelayPolicy.MIN_SILENCE)));
+                context.relay().link().heardWithin(RelayPolicy.MIN_SILENCE));
         boolean entryAvailable = findEntry(now).isPresent();
         return RelayPolicy.action(pending(responseBegun), inProgress, isPartitioned(), entryAvailable, now);
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SwitchedLink.java
@@ -1,8 +1,8 @@
 package org.baobabspindle.gateway;
 
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.baobabspindle.core.fleet.BackendServer;
-import org.baobabspindle.core.time.Moment;
 
 /** A link to backend servers whose state is set by a test. */
 final class SwitchedLink implements BackendLink {
@@ -41,7 +41,7 @@
     }
 
     @Override
-    public boolean heardSince(Moment since) {
+    public boolean heardWithin(Duration observed) {
         return !partitioned;
     }
 
