--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -66,6 +66,9 @@
             return Optional.of(Refusal.NOT_CONFIGURED);
         }
         FleetConfiguration configuration = known.get();
+        if (mark.filter(m -> m.version() > configuration.version()).isPresent()) {
+            return Optional.of(Refusal.CONFIGURATION_STALE);
+        }
         route = configuration.route(
                 Request.getServerName(request), request.getHttpURI().getPath());
         if (route.isEmpty()) {
--- a/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
@@ -6,7 +6,10 @@
     NOT_CONFIGURED(503),
     /** The configuration is not proven recent enough to accept API keys. */
     KEYS_UNPROVEN(503),
-    /** The key or route is unknown, but the configuration is not proven recent enough to reject it permanently. */
+    /**
+     * The key or route is unknown, but the configuration is not proven recent enough to reject it permanently; or the
+     * entry that relays the request follows a later one.
+     */
     CONFIGURATION_STALE(503),
     /** No route matches. */
     NO_ROUTE(404),
--- a/entry/src/main/java/org/baobabspindle/gateway/RelayMark.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RelayMark.java
@@ -10,8 +10,9 @@
  *
  * @param attempts the number of backend servers that may still run the request
  * @param stage how far the first entry has come with the request
+ * @param version the version of the configuration that the first entry follows; an older one may no longer apply
  */
-record RelayMark(int attempts, Stage stage) {
+record RelayMark(int attempts, Stage stage, long version) {
     /** How far the first entry has come with the request. */
     enum Stage {
         /** It has not been sent to a backend server. */
@@ -22,7 +23,7 @@
         CONTINUED
     }
 
-    /** The request header of the mark: the attempts, the stage and the signature, separated by spaces. */
+    /** The request header of the mark: the attempts, the stage, the version and the signature, separated by spaces. */
     static final String HEADER = "Entry-Relay";
 
     /** The response header by which an entry states why it refuses a relayed request: the name of the refusal. */
@@ -40,18 +41,21 @@
     }
 
     private static Optional<RelayMark> parse(String text) {
-        int space = text.indexOf(' ');
+        String[] parts = text.split(" ", -1);
+        if (parts.length != 3) {
+            return Optional.empty();
+        }
         try {
-            return Optional.of(new RelayMark(
-                    Integer.parseInt(text.substring(0, space)), Stage.valueOf(text.substring(space + 1))));
-        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            return Optional.of(
+                    new RelayMark(Integer.parseInt(parts[0]), Stage.valueOf(parts[1]), Long.parseLong(parts[2])));
+        } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
     }
 
     /** Returns the value of the request header. */
     String format(String requestId, PeerSecret receiver) {
-        String text = attempts + " " + stage;
+        String text = attempts + " " + stage + ' ' + version;
         return text + ' ' + receiver.sign(textToSign(text, requestId));
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -129,7 +129,8 @@
         if (hasBeenSent()) {
             context.relay().requestMoved();
         }
-        return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1, stage(responseBegun)));
+        RelayMark mark = new RelayMark(1, stage(responseBegun), context.fleet().version());
+        return new EntryDestination(context, nextEntry.orElseThrow(), mark);
     }
 
     private RelayMark.Stage stage(boolean responseBegun) {
--- a/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GatewayTestSupport.java
@@ -102,6 +102,10 @@
     }
 
     static FleetConfiguration configuration(Duration routeTimeout) {
+        return configuration(1, routeTimeout);
+    }
+
+    static FleetConfiguration configuration(long version, Duration routeTimeout) {
         List<Route> routes = new ArrayList<>();
         for (RouteKind kind : RouteKind.values()) {
             String prefix = "/" + kind.name().toLowerCase(Locale.ROOT) + "/";
@@ -120,7 +124,7 @@
                     List.of(new WeightedService("desk", 1))));
         }
         return new FleetConfiguration(
-                1,
+                version,
                 routes,
                 List.of(new FleetService("desk", 100, "/health", Optional.empty())),
                 Map.of(
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayMarkTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayMarkTests.java
@@ -10,7 +10,7 @@
 
 class RelayMarkTests {
     private static final PeerSecret SECRET = new PeerSecret("secret");
-    private static final RelayMark MARK = new RelayMark(2, RelayMark.Stage.NEW);
+    private static final RelayMark MARK = new RelayMark(2, RelayMark.Stage.NEW, 7);
 
     private static HttpFields marked(String value) {
         return HttpFields.build().put(RelayMark.HEADER, value);
@@ -19,7 +19,7 @@
     @Test
     void signedMarkIsRecognized() {
         for (RelayMark.Stage stage : RelayMark.Stage.values()) {
-            RelayMark mark = new RelayMark(2, stage);
+            RelayMark mark = new RelayMark(2, stage, 7);
             assertThat(RelayMark.of(marked(mark.format("r1", SECRET)), "r1", SECRET))
                     .hasValue(mark);
         }
@@ -50,14 +50,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", " ", "1", "1 ", "1 NEW", "1 NEW ff", "x y z"})
+    @ValueSource(strings = {"", " ", "1", "1 ", "1 NEW", "1 NEW 7", "1 NEW ff", "1 NEW 7 ff", "x y z"})
     void malformedMarkIsIgnored(String value) {
         assertThat(RelayMark.of(marked(value), "r1", SECRET)).isEmpty();
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "1", "NEW", "x NEW", "1 OTHER", "99999999999 NEW"})
-    void signedMarkOfALaterReleaseIsIgnored(String text) {
+    @ValueSource(
+            strings = {"", "1", "NEW", "1 NEW", "x NEW 7", "1 OTHER 7", "99999999999 NEW 7", "1 NEW x", "1 NEW 7 8"})
+    void signedMarkOfAnotherReleaseIsIgnored(String text) {
         String value = text + ' ' + SECRET.sign("relay " + text + " r1");
         assertThat(RelayMark.of(marked(value), "r1", SECRET)).isEmpty();
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
@@ -209,7 +209,7 @@
             assertThat(response.body()).isEqualTo(event(1) + event(2));
             assertThat(RawBackend.header(scripted.get(1).requests().get(0), "Last-Event-Id"))
                     .isEqualTo("1");
-            assertThat(marks(1)).containsExactly(new RelayMark(1, RelayMark.Stage.CONTINUED));
+            assertThat(marks(1)).containsExactly(new RelayMark(1, RelayMark.Stage.CONTINUED, 1));
         }
 
         @Test
@@ -219,7 +219,8 @@
             assertThat(requestCount(0)).isEqualTo(2);
             assertThat(requestCount(1)).isEqualTo(0);
             assertThat(marks(0))
-                    .containsExactly(new RelayMark(1, RelayMark.Stage.NEW), new RelayMark(1, RelayMark.Stage.RETRIED))
+                    .containsExactly(
+                            new RelayMark(1, RelayMark.Stage.NEW, 1), new RelayMark(1, RelayMark.Stage.RETRIED, 1))
                     .inOrder();
         }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -53,6 +53,14 @@
         return String.format(EVENTS_HEAD, RawBackend.header(request, "Id"));
     }
 
+    private int statusOfPost(String path) {
+        try {
+            return post(path).statusCode();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private int requestCount() {
         return backends.stream().mapToInt(b -> b.requests().size()).sum();
     }
@@ -134,6 +142,16 @@
             assertThat(requestCount()).isEqualTo(1);
         }
 
+        /** The other entry would follow routes that no longer apply, or deny a new one. */
+        @Test
+        void entryWithAnOlderConfigurationDoesNotTakeOver() throws Exception {
+            startPartitioned(DONE);
+            platform.configure(configuration(2, ROUTE_TIMEOUT));
+            await(() -> statusOfPost("/safe/x") == 503);
+            otherPlatform.configure(configuration(2, ROUTE_TIMEOUT));
+            await(() -> statusOfPost("/safe/x") == 200);
+        }
+
         @Test
         void refusesIfTheOtherEntryIsPartitionedToo() throws Exception {
             startPartitioned(DONE);
@@ -236,7 +254,7 @@
         }
 
         private String signedMark(int attempts) {
-            return new RelayMark(attempts, RelayMark.Stage.NEW)
+            return new RelayMark(attempts, RelayMark.Stage.NEW, 1)
                     .format("r1", new PeerSecret(platform.announcement("entry").secret()));
         }
 
