--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -129,7 +129,8 @@
         if (hasBeenSent()) {
             context.relay().requestMoved();
         }
-        return new EntryDestination(context, nextEntry.orElseThrow(), new RelayMark(1, stage(responseBegun)));
+        RelayMark mark = new RelayMark(1, stage(responseBegun), context.fleet().version());
+        return new EntryDestination(context, nextEntry.orElseThrow(), mark);
     }
 
     private RelayMark.Stage stage(boolean responseBegun) {
@@ -233,7 +234,7 @@
                 call.destination().server().isPresent(),
                 isRepeatable() && attempts + 1 < admission.maxAttempts(),
                 lastReceivedAt,
-                context.relay().link().heardSince(now.minus(RelayPolicy.MIN_SILENCE)));
+                context.relay().link().heardWithin(RelayPolicy.MIN_SILENCE));
         boolean entryAvailable = findEntry(now).isPresent();
         return RelayPolicy.action(pending(responseBegun), inProgress, isPartitioned(), entryAvailable, now);
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -28,7 +28,7 @@
     /** The slots of each backend server. */
     private static final int SLOTS = server("b1", 1).slots();
 
-    private static final RelayMark NEW = new RelayMark(1, RelayMark.Stage.NEW);
+    private static final RelayMark NEW = new RelayMark(1, RelayMark.Stage.NEW, 1);
 
     private final SwitchedLink link = new SwitchedLink();
     private final SwitchedLink otherLink = new SwitchedLink();
@@ -57,6 +57,14 @@
         return String.format(EVENTS_HEAD, RawBackend.header(request, "Id"));
     }
 
+    private int statusOfPost(String path) {
+        try {
+            return post(path).statusCode();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private int requestCount() {
         return backends.stream().mapToInt(b -> b.requests().size()).sum();
     }
@@ -126,6 +134,28 @@
             await(() -> backends.get(0).closedByGateway() == 1);
         }
 
+        @Test
+        void answerThatNamesARefusalIsDelivered() throws Exception {
+            startPartitioned((request, out, socket) -> RawBackend.write(
+                    out,
+                    plain(request, "done")
+                            .replace("Stamp: s", "Stamp: s\r\n" + RelayMark.REFUSAL_HEADER + ": STOPPING")));
+            HttpResponse<String> response = post("/unsafe/x");
+            assertThat(response.statusCode()).isEqualTo(200);
+            assertThat(response.body()).isEqualTo("done");
+            assertThat(requestCount()).isEqualTo(1);
+        }
+
+        /** The other entry would follow routes that no longer apply, or deny a new one. */
+        @Test
+        void entryWithAnOlderConfigurationDoesNotTakeOver() throws Exception {
+            startPartitioned(DONE);
+            platform.configure(configuration(2, ROUTE_TIMEOUT));
+            await(() -> statusOfPost("/safe/x") == 503);
+            otherPlatform.configure(configuration(2, ROUTE_TIMEOUT));
+            await(() -> statusOfPost("/safe/x") == 200);
+        }
+
         @Test
         void refusesIfTheOtherEntryIsPartitionedToo() throws Exception {
             startPartitioned(DONE);
@@ -260,7 +290,7 @@
             await(() -> requestCount() == SLOTS);
             awaitTicks();
             CompletableFuture<HttpResponse<String>> retry = http.sendAsync(
-                    marked("/safe/x", signedMark(new RelayMark(1, RelayMark.Stage.RETRIED))),
+                    marked("/safe/x", signedMark(new RelayMark(1, RelayMark.Stage.RETRIED, 1))),
                     HttpResponse.BodyHandlers.ofString());
             awaitTicks();
             end.countDown();
