--- a/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ReachabilityMonitor.java
@@ -28,7 +28,10 @@
     private final GatewayClock clock;
     private final EventLog log;
     private final BackendReachability reachability = new BackendReachability();
+
+    /** The catalog whose servers are set, which only the periodic evaluation uses. */
     private TargetCatalog listed = TargetCatalog.empty();
+
     private Moment changedAt;
 
     /** The state; a change is made while the lock is held. */
@@ -133,26 +136,34 @@
     }
 
     /**
-     * Evaluates the evidence; called periodically.
+     * Evaluates the evidence; called periodically, by one thread at a time.
      *
      * @param fleet the table of the servers that are listed
      * @return the servers to probe with new connections
      */
-    synchronized List<BackendServer> tick(FleetTable fleet, Moment now) {
+    List<BackendServer> tick(FleetTable fleet, Moment now) {
         TargetCatalog catalog = fleet.catalog();
         if (catalog != listed) {
             listed = catalog;
-            reachability.setServers(shuffledIds(fleet, now));
+            setServers(shuffledIds(fleet, now));
         }
-        reachability.tick(now);
-        update(now);
-        Set<InstanceId> due = new HashSet<>(reachability.serversToProbe(now));
+        Set<InstanceId> due = evaluate(now);
         if (due.isEmpty()) {
             return List.of();
         }
         return fleet.servers().stream().filter(s -> due.contains(s.id())).toList();
     }
 
+    private synchronized void setServers(List<InstanceId> servers) {
+        reachability.setServers(servers);
+    }
+
+    private synchronized Set<InstanceId> evaluate(Moment now) {
+        reachability.tick(now);
+        update(now);
+        return new HashSet<>(reachability.serversToProbe(now));
+    }
+
     /** Returns the servers that accept requests; in random order, so that entries do not all probe the same ones. */
     private static List<InstanceId> shuffledIds(FleetTable fleet, Moment now) {
         List<InstanceId> ids = new ArrayList<>();
