A group is not dissolved because its head is silent for a second

What callers saw: streams were cut off although the servers that sent them were sound and continued after a second of silence. Cause: GroupKeeper marked an engine as lost after one probe that was not answered within 0.2 s; the head of its open group was ordered to leave, which takes effect at once and ends its streams. Works because an unanswered probe is followed by a check of liveness: an engine that has ended counts as lost at once, as before; a silent one is probed again on each run of the keeper after 250 ms, one probe at a time, and counts as lost only when a probe that was sent 1.2 s after the first unanswered one is not answered either. An answer, the withdrawal or expiry of all reports, a partition of this entry or delisting ends it; each unanswered probe of the keeper extends the reports, which would expire within the tolerance. Streams move as before, and a loss by darkness is repaired later by the tolerance and at most the remainder of one interval between probes.

--- a/core/src/main/java/org/baobabspindle/core/formation/SuspicionReports.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/SuspicionReports.java
@@ -32,6 +32,20 @@
         reports.computeIfAbsent(engine, e -> new HashMap<>()).put(by, now);
     }
 
+    /**
+     * Extends the validity of the reports of an engine that does not answer this entry either.
+     *
+     * @param engine the engine
+     * @param now the current time
+     */
+    public synchronized void renew(BackendServer.Lifetime engine, Moment now) {
+        removeExpired(now);
+        reports.computeIfPresent(engine, (e, byEntry) -> {
+            byEntry.replaceAll((by, at) -> now);
+            return byEntry;
+        });
+    }
+
     /**
      * Withdraws all reports of an entry.
      *
--- /dev/null
+++ b/core/src/test/java/org/baobabspindle/core/formation/SilentEnginesTests.java
@@ -0,0 +1,93 @@
+package org.baobabspindle.core.formation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Set;
+import org.baobabspindle.core.fleet.BackendServer;
+import org.baobabspindle.core.fleet.Liveness;
+import org.baobabspindle.core.formation.SilentEngines.Verdict;
+import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.core.time.Moment;
+import org.junit.jupiter.api.Test;
+
+class SilentEnginesTests {
+    private static final BackendServer.Lifetime ENGINE = new BackendServer.Lifetime(InstanceId.of("e1"), 1);
+    private static final Moment NOW = new Moment(0, 0);
+
+    private final SilentEngines engines = new SilentEngines();
+
+    private static Moment after(Duration time) {
+        return NOW.plus(time);
+    }
+
+    private Verdict beginAndComplete(Liveness result) {
+        assertThat(engines.begin(ENGINE, NOW)).isTrue();
+        return engines.probed(ENGINE, NOW, result);
+    }
+
+    private Verdict repeatAndComplete(Moment at, Liveness result) {
+        assertThat(engines.repeat(ENGINE, at)).isTrue();
+        return engines.probed(ENGINE, at, result);
+    }
+
+    @Test
+    void endedEngineIsLostAtOnce() {
+        assertThat(beginAndComplete(Liveness.ENDED)).isEqualTo(Verdict.LOST);
+    }
+
+    @Test
+    void engineThatEndsWhileSilentIsLostAtOnce() {
+        beginAndComplete(Liveness.SILENT);
+        assertThat(repeatAndComplete(after(SilentEngines.PROBE_INTERVAL), Liveness.ENDED))
+                .isEqualTo(Verdict.LOST);
+    }
+
+    @Test
+    void silentEngineIsLostOnlyAfterTolerance() {
+        assertThat(beginAndComplete(Liveness.SILENT)).isEqualTo(Verdict.SILENT);
+        Moment before = after(SilentEngines.TOLERANCE.minusMillis(1));
+        assertThat(repeatAndComplete(before, Liveness.SILENT)).isEqualTo(Verdict.SILENT);
+        assertThat(repeatAndComplete(after(SilentEngines.TOLERANCE), Liveness.SILENT))
+                .isEqualTo(Verdict.LOST);
+    }
+
+    @Test
+    void answerEndsSilence() {
+        beginAndComplete(Liveness.SILENT);
+        assertThat(repeatAndComplete(after(SilentEngines.TOLERANCE), Liveness.RUNNING))
+                .isEqualTo(Verdict.RESPONSIVE);
+        assertThat(engines.repeat(ENGINE, after(SilentEngines.TOLERANCE.multipliedBy(2))))
+                .isFalse();
+    }
+
+    @Test
+    void silentEngineIsProbedAtIntervals() {
+        beginAndComplete(Liveness.SILENT);
+        assertThat(engines.repeat(ENGINE, after(SilentEngines.PROBE_INTERVAL.minusMillis(1))))
+                .isFalse();
+        assertThat(engines.repeat(ENGINE, after(SilentEngines.PROBE_INTERVAL))).isTrue();
+    }
+
+    @Test
+    void engineHasOneProbeInFlight() {
+        assertThat(engines.begin(ENGINE, NOW)).isTrue();
+        assertThat(engines.begin(ENGINE, NOW)).isFalse();
+        assertThat(engines.repeat(ENGINE, after(SilentEngines.TOLERANCE))).isFalse();
+    }
+
+    @Test
+    void probeSentBeforeTableWasClearedShowsNothing() {
+        engines.begin(ENGINE, NOW);
+        engines.clear();
+        engines.begin(ENGINE, after(SilentEngines.PROBE_INTERVAL));
+        assertThat(engines.probed(ENGINE, NOW, Liveness.ENDED)).isEqualTo(Verdict.OBSOLETE);
+    }
+
+    @Test
+    void unlistedEngineIsNotProbedAgain() {
+        beginAndComplete(Liveness.SILENT);
+        engines.retain(Set.of());
+        assertThat(engines.repeat(ENGINE, after(SilentEngines.TOLERANCE))).isFalse();
+    }
+}
--- a/core/src/test/java/org/baobabspindle/core/formation/SuspicionReportsTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/SuspicionReportsTests.java
@@ -48,4 +48,27 @@
         reports.withdrawAll();
         assertThat(reports.isSuspected(ENGINE, NOW)).isFalse();
     }
+
+    @Test
+    void renewedReportIsValidForLonger() {
+        reports.report(ENGINE, A, NOW);
+        Moment later = NOW.plus(Duration.ofSeconds(1));
+        reports.renew(ENGINE, later);
+        assertThat(reports.isSuspected(ENGINE, later.plus(Duration.ofMillis(1_499))))
+                .isTrue();
+        assertThat(reports.isSuspected(ENGINE, later.plus(Duration.ofMillis(1_500))))
+                .isFalse();
+    }
+
+    @Test
+    void withdrawnOrExpiredReportCannotBeRenewed() {
+        reports.report(ENGINE, A, NOW);
+        reports.withdraw(A);
+        reports.renew(ENGINE, NOW);
+        assertThat(reports.isSuspected(ENGINE, NOW)).isFalse();
+        reports.report(ENGINE, A, NOW);
+        Moment expired = NOW.plus(Duration.ofMillis(1_500));
+        reports.renew(ENGINE, expired);
+        assertThat(reports.isSuspected(ENGINE, expired)).isFalse();
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -15,11 +15,13 @@
 import org.baobabspindle.core.fleet.EngineProfile;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.FleetService;
+import org.baobabspindle.core.fleet.Liveness;
 import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.formation.Formation;
 import org.baobabspindle.core.formation.FormationAction;
 import org.baobabspindle.core.formation.GroupPlanner;
 import org.baobabspindle.core.formation.ModelDemand;
+import org.baobabspindle.core.formation.SilentEngines;
 import org.baobabspindle.core.formation.SuspicionReports;
 import org.baobabspindle.core.formation.WeightLoadLimiter;
 import org.baobabspindle.core.id.FabricDomain;
@@ -45,6 +47,9 @@
      */
     private static final Duration LOST_DURATION = Duration.ofSeconds(4);
 
+    /** The path of liveness probes; engines have no health check path. */
+    private static final String HEALTH_PATH = "/";
+
     /** The epochs that one term provides. A keeper holds a term for hours at most, so they do not run out. */
     private static final long EPOCHS_PER_TERM = 100_000;
 
@@ -59,7 +64,7 @@
     private final Formation formation = new Formation();
     private final OrderSequences sequences = new OrderSequences();
     private final SuspicionReports suspicionReports = new SuspicionReports();
-    private final Set<BackendServer.Lifetime> probing = new HashSet<>();
+    private final SilentEngines silentEngines = new SilentEngines();
     private final WeightLoadLimiter loadLimiter;
     private final Map<BackendServer.Lifetime, Moment> lostUntil = new HashMap<>();
     private final Set<BackendServer.Lifetime> inFlight = new HashSet<>();
@@ -118,6 +123,7 @@
             return;
         }
         retain(inputs.servers());
+        probeSilentEngines(inputs.servers(), now);
         for (FleetService s : inputs.configuration().services()) {
             if (s.engine().isPresent()) {
                 decide(s, inputs, term.get(), now).forEach(a -> send(a, inputs.servers()));
@@ -130,6 +136,7 @@
         servers.forEach(s -> listed.add(s.lifetime()));
         sequences.retain(listed);
         refusedStageSequences.keySet().retainAll(listed);
+        silentEngines.retain(listed);
     }
 
     private synchronized List<FormationAction> decide(FleetService service, Inputs inputs, long term, Moment now) {
@@ -338,9 +345,9 @@
     }
 
     /**
-     * Handles a report of engines that do not respond to an entry. An engine counts as lost if it does not answer a
-     * probe of this entry either, unless the report is withdrawn meanwhile or this entry is partitioned from the backend
-     * servers.
+     * Handles a report of engines that do not respond to an entry. An engine counts as lost if it has ended, or if it
+     * does not answer the probes of this entry for a while either, unless the report is withdrawn meanwhile or this entry
+     * is partitioned from the backend servers.
      */
     void reportSuspects(InstanceId by, Collection<BackendServer> suspects) {
         if (partitioned.getAsBoolean()) {
@@ -353,28 +360,80 @@
                     || isMarkedLost(s)) {
                 continue;
             }
-            suspicionReports.report(s.lifetime(), by, now);
-            if (markProbing(s)) {
-                engines.probe(s, SuspectGroupProber.PROBE_TIMEOUT).thenAccept(report -> suspectProbed(s, report));
+            if (recordReport(s, by, now)) {
+                engines.probe(s, SuspectGroupProber.PROBE_TIMEOUT)
+                        .thenAccept(report -> suspectProbedFirst(s, now, liveness(report)));
+            }
+        }
+    }
+
+    /** Records a report; returns whether the engine is to be probed. Silence counts only while it is reported. */
+    private synchronized boolean recordReport(BackendServer server, InstanceId by, Moment now) {
+        if (!isSuspected(server)) {
+            silentEngines.remove(server.lifetime());
+        }
+        suspicionReports.report(server.lifetime(), by, now);
+        return silentEngines.begin(server.lifetime(), now);
+    }
+
+    private static Liveness liveness(Optional<EngineReport> report) {
+        return report.isPresent() ? Liveness.RUNNING : Liveness.SILENT;
+    }
+
+    private void suspectProbedFirst(BackendServer server, Moment sentAt, Liveness liveness) {
+        if (liveness == Liveness.RUNNING || !isSuspected(server)) {
+            suspectProbed(server, sentAt, liveness);
+            return;
+        }
+        engines.probeLiveness(server, HEALTH_PATH, SuspectGroupProber.PROBE_TIMEOUT)
+                .thenAccept(result -> suspectProbed(server, sentAt, result));
+    }
+
+    private void probeSilentEngines(Collection<BackendServer> servers, Moment now) {
+        for (BackendServer s : servers) {
+            if (repeatProbe(s, now)) {
+                engines.probe(s, SuspectGroupProber.PROBE_TIMEOUT)
+                        .thenAccept(report -> suspectProbed(s, now, liveness(report)));
             }
         }
     }
 
-    private synchronized boolean markProbing(BackendServer server) {
-        return probing.add(server.lifetime());
+    private synchronized boolean repeatProbe(BackendServer server, Moment now) {
+        if (!silentEngines.repeat(server.lifetime(), now)) {
+            return false;
+        }
+        boolean suspected = isSuspected(server);
+        if (!suspected) {
+            dropSuspicion(server);
+        }
+        return suspected;
     }
 
-    private synchronized void suspectProbed(BackendServer server, Optional<EngineReport> report) {
-        probing.remove(server.lifetime());
-        if (report.isPresent()) {
+    private synchronized void suspectProbed(BackendServer server, Moment sentAt, Liveness liveness) {
+        SilentEngines.Verdict verdict = silentEngines.probed(server.lifetime(), sentAt, liveness);
+        if (verdict == SilentEngines.Verdict.RESPONSIVE) {
             log.write("suspect", "the engine responds to this keeper", "server", server.id());
-        } else if (partitioned.getAsBoolean() || !suspicionReports.isSuspected(server.lifetime(), clock.now())) {
-            log.write("suspect", "the report was withdrawn or this entry is partitioned", "server", server.id());
+        } else if (verdict == SilentEngines.Verdict.OBSOLETE) {
+            log.write("suspect", "the probe shows nothing, because the suspicion was dropped", "server", server.id());
+        } else if (!isSuspected(server)) {
+            dropSuspicion(server);
+        } else if (verdict == SilentEngines.Verdict.SILENT) {
+            suspicionReports.renew(server.lifetime(), clock.now());
+            log.write("suspect", "the engine is silent and will be probed again", "server", server.id());
         } else {
             markLost(server);
         }
     }
 
+    private void dropSuspicion(BackendServer server) {
+        silentEngines.remove(server.lifetime());
+        log.write("suspect", "the report was withdrawn or this entry is partitioned", "server", server.id());
+    }
+
+    private boolean isSuspected(BackendServer server) {
+        return !partitioned.getAsBoolean() && suspicionReports.isSuspected(server.lifetime(), clock.now());
+    }
+
     /** Withdraws the reports of an entry that is partitioned from the backend servers. */
     void withdrawReports(InstanceId by) {
         suspicionReports.withdraw(by);
@@ -383,6 +442,7 @@
     /** Discards what this entry believes about the responsiveness of engines, because it is partitioned from them. */
     synchronized void discardSuspicions() {
         suspicionReports.withdrawAll();
+        silentEngines.clear();
         lostUntil.clear();
     }
 
