--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -65,7 +65,7 @@
         this.waitingSince = now;
         this.lastReceivedAt = now;
         this.admission = new CallerAdmission(context, request, now);
-        this.progress = new RequestProgress(context, admission);
+        this.progress = new RequestProgress(context, admission, now);
         this.log = new ExchangeLog(context, admission, progress, id(), now);
         Callback done = Callback.from(callback, () -> context.closed(this));
         this.response = new CallerResponse(
@@ -363,14 +363,14 @@
             return retryOrGiveUp(Refusal.NOT_RUN, true, "backend server did not run the request", now);
         }
         if (end == BackendCall.End.NOT_SENT) {
-            progress.recordUnreachable(from);
+            progress.recordUnreachable(from, now);
             return retryOrGiveUp(Refusal.NOT_RUN, false, detail, now);
         }
         progress.recordAttempt();
         if (end == BackendCall.End.COMPLETE && isCompleteResponse()) {
             return deliver(now);
         }
-        progress.recordFailure(from);
+        progress.recordFailure(from, now);
         String reason =
                 end == BackendCall.End.COMPLETE ? "status " + answer.status() + " is not a complete response" : detail;
         return repeatOrGiveUp(Refusal.BROKEN, reason, now);
@@ -382,7 +382,7 @@
             progress.recordAttempt();
             return repeatOrGiveUp(refusal, reason, now);
         }
-        progress.recordFailure(entry);
+        progress.recordFailure(entry, now);
         if (refusal.specificToEntry() || response.committed()) {
             return retryOrGiveUp(refusal, false, reason, now);
         }
@@ -412,7 +412,7 @@
      */
     private NextStep retryOrGiveUp(Refusal otherwise, boolean budgeted, String reason, Moment now) {
         RelayPolicy.Path path = choosePath(now);
-        if (progress.awaitsEvidence(path, now)) {
+        if (progress.awaitsEvidence(path, response.committed(), now)) {
             pendingRetry = Optional.of(new PendingRetry(otherwise, budgeted, reason));
             return NextStep.NONE;
         }
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -1,5 +1,6 @@
 package org.baobabspindle.gateway;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -18,6 +19,9 @@
     /** The number of targets that may refuse a request or be unreachable before it is given up. */
     private static final int MAX_REFUSALS = 3;
 
+    /** The time within which other servers fail as well if the failure of one is caused by a partition of this entry. */
+    private static final Duration CORRELATION_TIME = Duration.ofMillis(20);
+
     /** The number of times that a request may be relayed. */
     private static final int MAX_RELAYS = 3;
 
@@ -34,10 +38,13 @@
     /** The server of the last call if that has failed. */
     private Optional<BackendServer> failedServer = Optional.empty();
 
+    private Moment failedAt;
+
     /** Whether the retry after the current call has been acquired already. */
     private boolean retryGranted;
 
-    RequestProgress(GatewayContext context, CallerAdmission admission) {
+    RequestProgress(GatewayContext context, CallerAdmission admission, Moment now) {
+        this.failedAt = now;
         this.context = context;
         this.admission = admission;
     }
@@ -79,16 +86,17 @@
     }
 
     /** The request could not be sent. */
-    void recordUnreachable(Destination destination) {
+    void recordUnreachable(Destination destination, Moment now) {
         if (destination.server().isPresent()) {
             refusals++;
             unreachable++;
         }
-        recordFailure(destination);
+        recordFailure(destination, now);
     }
 
     /** A call has failed. If the destination is an entry, it does not get the request again. */
-    void recordFailure(Destination destination) {
+    void recordFailure(Destination destination, Moment now) {
+        failedAt = now;
         destination.entry().ifPresent(e -> failedEntries.add(e.id()));
         failedServer = destination.server();
     }
@@ -143,10 +151,17 @@
      * Returns whether a retry waits until it is known whether the last server has crashed, or whether this entry is
      * partitioned. What a partitioned entry suspects of a request does not matter to other entries.
      */
-    boolean awaitsEvidence(Path path, Moment now) {
+    boolean awaitsEvidence(Path path, boolean responseBegun, Moment now) {
         if (path == Path.RELAY && isPartitioned()) {
             return false;
         }
+        if (path == Path.DIRECT
+                && responseBegun
+                && !retryGranted
+                && failedServer.isPresent()
+                && now.since(failedAt).compareTo(CORRELATION_TIME) < 0) {
+            return true;
+        }
         return context.quarantine().awaitsInvestigation(admission::suspect, now)
                 || (othersFail() && admission.checkQuarantine(now).isPresent());
     }
