--- a/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerSecret;
@@ -15,7 +14,7 @@
     private final Surroundings surroundings;
     private final PeerSecret secret;
     private final Map<InstanceId, Integer> outstanding = new ConcurrentHashMap<>();
-    private final AtomicBoolean requestMoved = new AtomicBoolean();
+    private final Set<InstanceId> moveTargets = ConcurrentHashMap.newKeySet();
 
     /**
      * What an entry relays between.
@@ -50,13 +49,15 @@
     }
 
     /** A request no longer occupies a slot of its server for this entry, but for another one. */
-    void requestMoved() {
-        requestMoved.set(true);
+    void requestMoved(InstanceId to) {
+        moveTargets.add(to);
     }
 
-    /** Returns whether requests have moved since the last call. */
-    boolean takeRequestMoved() {
-        return requestMoved.compareAndSet(true, false);
+    /** Returns the entries to which requests have moved since the last call. */
+    Set<InstanceId> takeMoveTargets() {
+        Set<InstanceId> taken = Set.copyOf(moveTargets);
+        moveTargets.removeAll(taken);
+        return taken;
     }
 
     /** A request is sent to an entry. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -100,6 +100,11 @@
         mesh.exchangeState(localState(), context.clock(), this::stateReceived);
     }
 
+    /** Exchanges state at once with those of some peers that are responsive. */
+    void exchangeStateWith(Set<InstanceId> entries) {
+        mesh.exchangeStateWith(entries, localState(), context.clock(), this::stateReceived);
+    }
+
     /** Exchanges state with all responsive peers at once. */
     void exchangeStateWithAll() {
         mesh.exchangeStateWithAll(localState(), context.clock(), this::stateReceived);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -24,6 +24,7 @@
 import org.baobabspindle.core.fleet.PlanPolicy;
 import org.baobabspindle.core.id.AvailabilityZone;
 import org.baobabspindle.core.id.Incarnation;
+import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.peer.PeerSecret;
@@ -504,11 +505,12 @@
                 .apply(lease);
     }
 
-    /** Checks the requests in progress, and informs the other entries at once of the slots that some have left. */
+    /** Checks the requests in progress, and informs entries at once of the slots that requests for them have left. */
     private void checkRequests() {
         context.tick(clock.now());
-        if (context.relay().takeRequestMoved()) {
-            gossip.exchangeStateWithAll();
+        Set<InstanceId> moveTargets = context.relay().takeMoveTargets();
+        if (!moveTargets.isEmpty()) {
+            gossip.exchangeStateWith(moveTargets);
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -140,6 +140,14 @@
         exchangeState(selectPeersToQuery(), localState, clock, listener);
     }
 
+    /** Exchanges state with those of some peers that are responsive, like {@link #exchangeStateWithAll}. */
+    void exchangeStateWith(
+            Set<InstanceId> entries, PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
+        List<Peer> receivers = alivePeers(clock.now());
+        receivers.removeIf(p -> !entries.contains(p.entry.entry().instance()));
+        exchangeState(receivers, localState, clock, listener);
+    }
+
     /** Exchanges state with all responsive peers, whether or not they have a pending request with an earlier state. */
     void exchangeStateWithAll(PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
         exchangeState(alivePeers(clock.now()), localState, clock, listener);
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -126,11 +126,12 @@
      */
     EntryDestination relay(boolean responseBegun) {
         relays++;
+        EntryAnnouncement entry = nextEntry.orElseThrow();
         if (hasBeenSent()) {
-            context.relay().requestMoved();
+            context.relay().requestMoved(entry.entry().instance());
         }
         RelayMark mark = new RelayMark(1, stage(responseBegun), context.fleet().version());
-        return new EntryDestination(context, nextEntry.orElseThrow(), mark);
+        return new EntryDestination(context, entry, mark);
     }
 
     private RelayMark.Stage stage(boolean responseBegun) {
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -55,6 +55,7 @@
         private final PeerServer server;
         private final EntryAnnouncement announcement;
         private final AtomicInteger statesReceived = new AtomicInteger();
+        private final AtomicInteger notReadyReceived = new AtomicInteger();
         private volatile boolean partitioned;
         private volatile boolean ready = true;
 
@@ -66,6 +67,9 @@
 
         private PeerMessage respond(PeerMessage request) {
             statesReceived.incrementAndGet();
+            if (request instanceof PeerMessage.PulseAsk p && !p.pulse().ready()) {
+                notReadyReceived.incrementAndGet();
+            }
             return new PeerMessage.PulseAnswer(pulse(ready, partitioned));
         }
     }
@@ -129,6 +133,17 @@
         });
     }
 
+    @Test
+    void stateIsExchangedWithTheNamedPeersOnly() throws Exception {
+        TestPeer a = startPeer("a", ZONE);
+        TestPeer b = startPeer("b", ZONE);
+        exchangeWithAll();
+        mesh.exchangeStateWith(Set.of(InstanceId.of("a")), pulse(false, true), clock, (from, pulse, at, now) -> {});
+        GatewayTestSupport.await(() -> a.notReadyReceived.get() == 1);
+        exchangeWithAll();
+        assertThat(b.notReadyReceived.get()).isEqualTo(0);
+    }
+
     @Test
     void addressesLeaveOutPartitionedPeer() throws Exception {
         TestPeer a = startPeer("a", ZONE);
