A stream that left a silent server returns to it when the other one refuses

What callers saw: a stream was cut off after 3.2 s although its server was sound and continued after 1.2 s of silence. Cause: the call to the silent server is cancelled for a free slot elsewhere. If that server refuses the stream, both are among the targets that the request has tried, and the first one is excluded for 4 s besides, so that the request waits for a target that does not exist. Works because a target that a request left for its silence is its last resort: it is used when no other target can serve the request and it is no longer excluded, and at the end of the wait, when the request would be cut off, even while it is excluded. An excluded group is probed every 250 ms, and its exclusion ends when all listed members report that they are in it, as it already ends with an event. A group that has lost a listed member is no target, and the exclusion of a target for failed requests is not ended by probes.

--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
@@ -68,7 +68,8 @@
     }
 
     /**
-     * Records that a target has responded while a request is in progress, which ends its exclusion for not responding.
+     * Records that a target has responded to a probe or within a request in progress, which ends its exclusion for not
+     * responding.
      *
      * @param target the key of the target
      */
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -158,6 +158,7 @@
                 response.committed() ? 0 : admission.priority(),
                 progress.hasBeenSent() ? admission.retryWaitLimits(now) : admission.waitLimits(),
                 progress.triedTargets(),
+                progress.silentTargets(),
                 this::sendTo,
                 this::waitExpired);
         ticket = Optional.of(t);
@@ -579,6 +580,7 @@
                 log.silent(key);
                 return;
             }
+            progress.leavingSilent(key);
         }
         lost.cancel("group has lost a member");
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.baobabspindle.core.dispatch.LoadTracker;
 import org.baobabspindle.core.dispatch.OfferedLoad;
 import org.baobabspindle.core.dispatch.RequestQueue;
@@ -74,6 +75,8 @@
      * @param priority its priority; 0 is served first
      * @param waitLimits the times until which it is useful to wait
      * @param avoid the keys of targets that it has already been sent to
+     * @param lastResort the keys of those among them that it left because they were silent, so that they may serve it if
+     *     no other target does; once it has waited too long, even while they are excluded
      * @param listener receives the target
      * @param onExpired runs if the request has waited too long
      */
@@ -82,11 +85,13 @@
             int priority,
             RequestQueue.WaitLimits waitLimits,
             Set<String> avoid,
+            Set<String> lastResort,
             TargetListener listener,
             Runnable onExpired) {
-        /** Copies the set of keys. */
+        /** Copies the sets of keys. */
         Ticket {
             avoid = Set.copyOf(avoid);
+            lastResort = Set.copyOf(lastResort);
         }
 
         @Override
@@ -132,7 +137,10 @@
         synchronized (this) {
             Function<String, Integer> totals = loads.totals(now);
             for (Map.Entry<TargetPool, RequestQueue<Ticket>> e : queues.entrySet()) {
-                expired.addAll(e.getValue().removeExpired(now));
+                for (Ticket t : e.getValue().removeExpired(now)) {
+                    Optional<Target> last = choose(t, totals, x -> isLastResort(x, t) && isAvailable(x, now));
+                    last.ifPresentOrElse(x -> assigned.add(assignment(t, x, now)), () -> expired.add(t));
+                }
                 e.getValue().dispatch(t -> assign(t, totals, assigned, now), now);
             }
         }
@@ -142,23 +150,37 @@
 
     private RequestQueue.Result assign(
             Ticket t, Function<String, Integer> totals, List<Assignment> assigned, Moment now) {
-        int choices = FleetScaling.targetChoices(entryCount.getAsInt());
-        List<Target> targets = fleet.catalog().targets(t.pool());
-        Optional<Target> target = chooser.choose(
-                choices, targets, totals, x -> isUsable(x, t.avoid(), now), x -> slowTargets.contains(x.key()));
+        Optional<Target> target = choose(t, totals, x -> isUsable(x, t.avoid(), now))
+                .or(() -> choose(t, totals, x -> isLastResort(x, t) && isUsable(x, Set.of(), now)));
         if (target.isEmpty()) {
             return t.avoid().isEmpty() ? RequestQueue.Result.FULL : RequestQueue.Result.NOT_SUITED;
         }
-        loads.requestSent(target.get().key());
-        rateLimits.requestSent(target.get().server().lifetime(), now);
-        assigned.add(new Assignment(t, target.get()));
+        assigned.add(assignment(t, target.get(), now));
         return RequestQueue.Result.ACCEPTED;
     }
 
+    private Optional<Target> choose(Ticket t, Function<String, Integer> totals, Predicate<Target> usable) {
+        int choices = FleetScaling.targetChoices(entryCount.getAsInt());
+        List<Target> targets = fleet.catalog().targets(t.pool());
+        return chooser.choose(choices, targets, totals, usable, x -> slowTargets.contains(x.key()));
+    }
+
+    private Assignment assignment(Ticket t, Target target, Moment now) {
+        loads.requestSent(target.key());
+        rateLimits.requestSent(target.server().lifetime(), now);
+        return new Assignment(t, target);
+    }
+
+    private static boolean isLastResort(Target target, Ticket t) {
+        return t.lastResort().contains(target.key());
+    }
+
     private boolean isUsable(Target target, Set<String> avoid, Moment now) {
-        return !avoid.contains(target.key())
-                && health.isUsable(target.key(), now)
-                && backoff.isAvailable(target.server().lifetime(), now)
+        return !avoid.contains(target.key()) && health.isUsable(target.key(), now) && isAvailable(target, now);
+    }
+
+    private boolean isAvailable(Target target, Moment now) {
+        return backoff.isAvailable(target.server().lifetime(), now)
                 && rateLimits.isAvailable(target.server().lifetime(), now);
     }
 
@@ -300,6 +322,14 @@
         health.excludeUntil(target, until);
     }
 
+    /** Ends the exclusion of a target for not responding, because it responds again. */
+    void endExclusion(String target, Moment now) {
+        synchronized (this) {
+            health.recordResponse(target);
+        }
+        drain(now);
+    }
+
     synchronized List<String> suspects(Moment now) {
         return stalls.newSuspects(now);
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -24,6 +24,7 @@
     private final GatewayContext context;
     private final CallerAdmission admission;
     private final Set<String> triedTargets = new HashSet<>();
+    private final Set<String> silentTargets = new HashSet<>();
     private final Set<InstanceId> failedEntries = new HashSet<>();
     private Optional<EntryAnnouncement> nextEntry = Optional.empty();
     private int attempts;
@@ -56,6 +57,16 @@
         return triedTargets;
     }
 
+    /** Returns the keys of the targets that the request left because they were silent; they may have continued. */
+    Set<String> silentTargets() {
+        return silentTargets;
+    }
+
+    /** The request is about to leave a silent target. */
+    void leavingSilent(String target) {
+        silentTargets.add(target);
+    }
+
     /** Returns whether a backend server was already asked to run the request. */
     boolean hasBeenSent() {
         return attempts + refusals > 0;
@@ -64,6 +75,7 @@
     /** The request is about to be sent. */
     void sendingTo(Destination destination) {
         destination.server().ifPresent(s -> triedTargets.add(destination.key()));
+        silentTargets.remove(destination.key());
         retryGranted = false;
         failedServer = Optional.empty();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,9 @@
     /** How long a group with an unresponsive member is excluded; its keeper has dissolved it by then. */
     static final Duration EXCLUSION_TIME = Duration.ofSeconds(4);
 
+    /** The time between two probes of an excluded group; longer than the timeout, so that one is in flight at a time. */
+    private static final Duration EXCLUDED_PROBE_INTERVAL = Duration.ofMillis(250);
+
     /** The servers outside a group that are probed together with it. */
     private static final int MAX_REFERENCES = 2;
 
@@ -36,6 +40,9 @@
     private final EnginePort engines;
     private final Consumer<List<BackendServer>> suspectSink;
     private final EventLog log;
+    private final Map<String, Exclusion> exclusions = new HashMap<>();
+
+    private record Exclusion(Moment until, Moment nextProbe) {}
 
     SuspectGroupProber(
             GatewayContext context, EnginePort engines, Consumer<List<BackendServer>> suspects, EventLog log) {
@@ -52,21 +59,75 @@
         for (String target : context.dispatcher().suspects(now)) {
             probe(target);
         }
+        beginProbesOfExcluded(now).forEach(this::probeExcluded);
     }
 
-    private void probe(String target) {
-        Moment startedAt = context.clock().now();
+    private void exclude(String target, Moment now) {
+        Moment until = now.plus(EXCLUSION_TIME);
+        context.dispatcher().exclude(target, until);
+        synchronized (this) {
+            exclusions.put(target, new Exclusion(until, now.plus(EXCLUDED_PROBE_INTERVAL)));
+        }
+    }
+
+    private synchronized Map<String, Exclusion> beginProbesOfExcluded(Moment now) {
+        exclusions.values().removeIf(x -> !now.isBefore(x.until()));
+        Map<String, Exclusion> due = new HashMap<>();
+        exclusions.forEach((target, x) -> {
+            if (!now.isBefore(x.nextProbe())) {
+                due.put(target, new Exclusion(x.until(), now.plus(EXCLUDED_PROBE_INTERVAL)));
+            }
+        });
+        exclusions.putAll(due);
+        return due;
+    }
+
+    /** Ends the exclusion of a group if all members respond. */
+    private void probeExcluded(String target, Exclusion exclusion) {
+        List<BackendServer> members = members(target);
+        Map<BackendServer, Optional<EngineReport>> reports = new ConcurrentHashMap<>();
+        CompletableFuture.allOf(probeMembers(members, reports).toArray(CompletableFuture<?>[]::new))
+                .thenRun(() -> {
+                    boolean complete = !members.isEmpty()
+                            && reports.values().stream().allMatch(r -> r.filter(x -> isOf(target, x))
+                                    .isPresent());
+                    if (complete && removeExclusion(target, exclusion)) {
+                        log.write("doubt", "all members respond again", "target", target);
+                        context.dispatcher()
+                                .endExclusion(target, context.clock().now());
+                    }
+                });
+    }
+
+    /** Removes an exclusion; returns false if the group was excluded again or is already probed again. */
+    private synchronized boolean removeExclusion(String target, Exclusion exclusion) {
+        return exclusions.remove(target, exclusion);
+    }
+
+    private static boolean isOf(String target, EngineReport report) {
+        return report.group().map(Object::toString).equals(Optional.of(target));
+    }
+
+    private List<BackendServer> members(String target) {
         List<BackendServer> members = new ArrayList<>();
         for (BackendServer s : context.fleet().servers()) {
             if (s.group().map(GroupMembership::key).map(Object::toString).equals(Optional.of(target))) {
                 members.add(s);
             }
         }
+        return members;
+    }
+
+    private Stream<CompletableFuture<?>> probeMembers(
+            List<BackendServer> members, Map<BackendServer, Optional<EngineReport>> reports) {
+        return members.stream().map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> reports.put(m, a)));
+    }
+
+    private void probe(String target) {
+        Moment startedAt = context.clock().now();
+        List<BackendServer> members = members(target);
         Map<BackendServer, Optional<EngineReport>> reports = new ConcurrentHashMap<>();
-        CompletableFuture<?>[] probes = members.stream()
-                .map(m -> engines.probe(m, PROBE_TIMEOUT).thenAccept(a -> reports.put(m, a)))
-                .toArray(CompletableFuture<?>[]::new);
-        CompletableFuture.allOf(Stream.concat(Stream.of(probes), probeReferences(members))
+        CompletableFuture.allOf(Stream.concat(probeMembers(members, reports), probeReferences(members))
                         .toArray(CompletableFuture<?>[]::new))
                 .thenRun(() -> probesCompleted(target, reports, startedAt));
     }
@@ -100,7 +161,7 @@
         for (BackendServer s : unresponsive) {
             Optional<String> target = s.group().map(GroupMembership::key).map(Object::toString);
             if (target.isPresent() && context.dispatcher().unresponsive(target.get(), now)) {
-                context.dispatcher().exclude(target.get(), now.plus(EXCLUSION_TIME));
+                exclude(target.get(), now);
                 context.targetLost(target.get(), false);
             }
         }
@@ -113,7 +174,7 @@
         reports.forEach((server, report) -> {
             if (report.isEmpty()) {
                 unresponsive.add(server);
-            } else if (!report.get().group().map(Object::toString).equals(Optional.of(target))) {
+            } else if (!isOf(target, report.get())) {
                 elsewhere.add(server);
             }
         });
@@ -136,7 +197,7 @@
             log.write("doubt", "no other server responded, so that the probes show nothing", "target", target);
             return;
         }
-        context.dispatcher().exclude(target, now.plus(EXCLUSION_TIME));
+        exclude(target, now);
         if (!unresponsive.isEmpty()) {
             suspectSink.accept(unresponsive);
         }
--- a/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SilentServerTests.java
@@ -22,6 +22,10 @@
  */
 class SilentServerTests extends EngineGroupTestSupport {
     private static final Duration SILENCE = Duration.ofMillis(1_200);
+
+    /** A retry waits for half of the time that its route leaves; it leaves 6 s in all. */
+    private static final Duration RETRY_WAIT = Duration.ofSeconds(3);
+
     private static final String WHOLE_STREAM = event(1) + event(2) + event(3);
 
     private static final RawBackend.Script SILENT_ONCE = (request, out, socket) -> {
@@ -159,6 +163,53 @@
         assertThat(first.get().statusCode()).isEqualTo(200);
     }
 
+    /** The group is excluded until its head answers probes again, although no stream shows that it has continued. */
+    @Test
+    void groupIsUsedAgainWhenItsSilentHeadAnswersProbes() throws Exception {
+        CountDownLatch continued = new CountDownLatch(1);
+        CountDownLatch served = new CountDownLatch(1);
+        startGroups(Streams.RESUMABLE, List.of("d1"), (request, out, socket) -> {
+            RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")) + chunk(event(1)));
+            if (continued.getCount() > 0) {
+                Thread.sleep(SILENCE.toMillis());
+                platform.makeResponsive(InstanceId.of("head-d1"));
+                continued.countDown();
+                served.await();
+            }
+            RawBackend.write(out, chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n");
+        });
+        CompletableFuture<HttpResponse<String>> first =
+                http.sendAsync(streamRequest(), HttpResponse.BodyHandlers.ofString());
+        continued.await();
+        assertStreamIsWhole();
+        served.countDown();
+        assertThat(first.get().body()).isEqualTo(WHOLE_STREAM);
+    }
+
+    /** The other server refuses the stream; the first one answers probes again after its silence. */
+    @Test
+    void streamReturnsToItsSilentServerAsSoonAsThatAnswersProbes() throws Exception {
+        Set<String> heads = ConcurrentHashMap.newKeySet();
+        startGroups(Streams.RESUMABLE, List.of("d1", "d2"), (request, out, socket) -> {
+            String head = RawBackend.header(request, "Expect");
+            if (heads.isEmpty()) {
+                heads.add(head);
+                RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")) + chunk(event(1)));
+                Thread.sleep(SILENCE.toMillis());
+                platform.makeResponsive(InstanceId.of(head));
+                RawBackend.awaitClose(socket);
+            } else if (heads.contains(head)) {
+                RawBackend.write(out, String.format(EVENTS_HEAD, RawBackend.header(request, "Id")));
+                RawBackend.write(out, chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n");
+            } else {
+                RawBackend.write(out, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        long startedAt = System.nanoTime();
+        assertStreamIsWhole();
+        assertThat(Duration.ofNanos(System.nanoTime() - startedAt)).isLessThan(RETRY_WAIT);
+    }
+
     /** Calls that this entry cancels to continue at another group are no failures of the silent one. */
     @Test
     void exclusionOfASilentGroupDoesNotGrowWithTheStreamsThatLeaveIt() throws Exception {
