--- a/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/SuspectGroupProber.java
@@ -30,8 +30,8 @@
     /** How long a group with an unresponsive member is excluded; its keeper has dissolved it by then. */
     static final Duration EXCLUSION_TIME = Duration.ofSeconds(4);
 
-    /** The time between two probes of an excluded group; longer than the timeout, so that one is in flight at a time. */
-    private static final Duration EXCLUDED_PROBE_INTERVAL = Duration.ofMillis(250);
+    /** The time between two probes of an excluded group; all entries probe it. */
+    private static final Duration EXCLUDED_PROBE_INTERVAL = Duration.ofSeconds(1);
 
     /** The servers outside a group that are probed together with it. */
     private static final int MAX_REFERENCES = 2;
