--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -385,7 +385,7 @@
         }
         progress.recordFailure(entry, now);
         if (refusal.specificToEntry() || response.committed()) {
-            return retryOrGiveUp(refusal, false, reason, now);
+            return retryOrGiveUp(refusal, refusal == Refusal.NOT_RUN, reason, now);
         }
         retryAfterOfEntry =
                 Optional.ofNullable(answer.headers().get("Retry-After")).flatMap(ServerNotices::parseSeconds);
