--- /dev/null
+++ b/review/standins/RawServer.java
@@ -0,0 +1,197 @@
+package review;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** An HTTP/1.1 server on a loopback address with one thread per connection, which gives a stand-in the raw connection. */
+abstract class RawServer implements AutoCloseable {
+    private final ServerSocket listener = new ServerSocket();
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    RawServer(String host) throws IOException {
+        listener.bind(new InetSocketAddress(InetAddress.getByName(host), 0), 512);
+    }
+
+    final void start() {
+        Thread t = new Thread(this::accept, "accept-" + address());
+        t.setDaemon(true);
+        t.start();
+    }
+
+    final String host() {
+        return listener.getInetAddress().getHostAddress();
+    }
+
+    final int port() {
+        return listener.getLocalPort();
+    }
+
+    final String address() {
+        return host() + ":" + port();
+    }
+
+    /** Answers one request; returns whether the connection is kept. */
+    abstract boolean handle(Request request, Connection connection) throws Exception;
+
+    private void accept() {
+        while (!closed) {
+            try {
+                Socket s = listener.accept();
+                s.setTcpNoDelay(true);
+                open.add(s);
+                Thread t = new Thread(() -> serve(s), "serve-" + address());
+                t.setDaemon(true);
+                t.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket s) {
+        try (s) {
+            Connection c = new Connection(s);
+            for (Request r = c.readRequest(); r != null; r = c.readRequest()) {
+                if (!handle(r, c)) {
+                    return;
+                }
+            }
+        } catch (Exception e) {
+            // The peer has closed the connection.
+        } finally {
+            open.remove(s);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        listener.close();
+        for (Socket s : open) {
+            s.close();
+        }
+    }
+
+    /** One HTTP request; names of headers are in lower case. */
+    record Request(String method, String target, Map<String, String> headers, byte[] body) {
+        String header(String name) {
+            return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+        }
+
+        String path() {
+            int q = target.indexOf('?');
+            return q < 0 ? target : target.substring(0, q);
+        }
+
+        String query(String name) {
+            int q = target.indexOf('?');
+            for (String pair : q < 0 ? new String[0] : target.substring(q + 1).split("&")) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+            return "";
+        }
+    }
+
+    /** One connection of a caller. */
+    static final class Connection {
+        final Socket socket;
+        final InputStream in;
+        final OutputStream out;
+
+        Connection(Socket socket) throws IOException {
+            this.socket = socket;
+            this.in = new BufferedInputStream(socket.getInputStream(), 64 * 1024);
+            this.out = socket.getOutputStream();
+        }
+
+        /** Reads a request; null at the end of the connection. */
+        Request readRequest() throws IOException {
+            String first = readLine(in);
+            if (first == null) {
+                return null;
+            }
+            String[] words = first.split(" ");
+            Map<String, String> headers = readHeaders(in);
+            return new Request(words[0], words[1], headers, readBody(in, headers));
+        }
+
+        void respond(int status, String extraHeaders, byte[] body) throws IOException {
+            out.write(response(status, extraHeaders, body));
+            out.flush();
+        }
+    }
+
+    static byte[] response(int status, String extraHeaders, byte[] body) {
+        String head = "HTTP/1.1 " + status + " X\r\n" + extraHeaders + "Content-Length: " + body.length + "\r\n\r\n";
+        byte[] start = head.getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = new byte[start.length + body.length];
+        System.arraycopy(start, 0, all, 0, start.length);
+        System.arraycopy(body, 0, all, start.length, body.length);
+        return all;
+    }
+
+    static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                return null;
+            }
+            if (b != '\r') {
+                line.write(b);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    static Map<String, String> readHeaders(InputStream in) throws IOException {
+        Map<String, String> headers = new LinkedHashMap<>();
+        for (String line = readLine(in); line != null && !line.isEmpty(); line = readLine(in)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).trim().toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        return headers;
+    }
+
+    static byte[] readBody(InputStream in, Map<String, String> headers) throws IOException {
+        if ("chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            while (true) {
+                String size = readLine(in);
+                if (size == null) {
+                    throw new EOFException();
+                }
+                int length = Integer.parseInt(size.trim(), 16);
+                body.write(in.readNBytes(length));
+                readLine(in);
+                if (length == 0) {
+                    return body.toByteArray();
+                }
+            }
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException();
+        }
+        return body;
+    }
+}
