--- a/review/standins/RawServer.java
+++ b/review/standins/RawServer.java
@@ -17,7 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** An HTTP/1.1 server on a loopback address with one thread per connection, which gives a stand-in the raw connection. */
+/** An HTTP/1.1 server on a loopback address with one thread per connection; stand-ins have the raw connection. */
 abstract class RawServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
