--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/target
-javac -Xlint:all -Werror -cp target/baobabspindle.jar -d review/target review/standins/*.java
+javac -Xlint:all -cp target/baobabspindle.jar -d review/target review/standins/*.java
