--- a/review/standins/Uploads.java
+++ b/review/standins/Uploads.java
@@ -18,7 +18,7 @@
  * before, during and after a burst; beside them a client with small requests, which go on after the last upload.
  */
 final class Uploads {
-    private static final int BASE_CALLERS = 21;
+    private static final int BASE_CALLERS = 24;
     private static final double BURST = 1.7;
     private static final int BURST_SECONDS = 3;
     private static final int BASE_SECONDS = 8;
