--- a/review/standins/Uploads.java
+++ b/review/standins/Uploads.java
@@ -84,7 +84,7 @@
         for (int i = 0; i < BASE_CALLERS; i++) {
             threads.add(caller("u" + i, entry, record, uploads, BODY_BYTES, UPLOAD_INTERVAL_MILLIS, from, uploadsTo));
         }
-        int more = trouble ? (int) Math.round(BASE_CALLERS * BURST) - BASE_CALLERS : 0;
+        int more = trouble ? (int) (BASE_CALLERS * BURST) - BASE_CALLERS : 0;
         for (int i = 0; i < more; i++) {
             threads.add(
                     caller("v" + i, entry, record, uploads, BODY_BYTES, UPLOAD_INTERVAL_MILLIS, burstFrom, burstTo));
