--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -134,6 +134,11 @@
         return entry;
     }
 
+    /** Starts an entry again with the command of the deploy file, at its address. */
+    Entry restart(Entry e) throws Exception {
+        return startEntry(e.name(), e.host(), e.port(), command());
+    }
+
     /** Asks an entry whether it is ready. */
     static boolean isReady(Entry e) {
         try {
--- /dev/null
+++ b/review/standins/FaultSoak.java
@@ -0,0 +1,332 @@
+package review;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Steady callers on kept connections while runners spoil answers, stand still and lose connections, and entries are stopped,
+ * ended and replaced, all drawn from a seed. Compares what callers were told with what runners ran.
+ */
+final class FaultSoak {
+    private static final int CALLERS = 24;
+    private static final int QUEUE = 1;
+    private static final int WORK_MILLIS = 25;
+    private static final int BUDGET_MILLIS = 2_500;
+    private static final int WAIT_MILLIS = BUDGET_MILLIS + 1_500;
+    private static final int STEADY_MILLIS = 2_000;
+
+    /** The time in which what runners have received before the end is still run. */
+    private static final int SETTLE_MILLIS = 3_500;
+
+    /** The time before a request in which nothing was done to its entry if the entry counts as undisturbed. */
+    private static final double CALM_SECONDS = 1;
+
+    private static final int MIN_SERVED = 300;
+    private static final int MAX_STOP_SECONDS = 15;
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    private final Deployment deployment;
+    private final Record record;
+    private final Random random;
+    private final int seconds;
+    private final boolean trouble;
+    private final List<FaultyRunner> runners = new ArrayList<>();
+    private final Map<String, Deployment.Entry> serving = new ConcurrentHashMap<>();
+
+    private final Map<String, Disturbances> disturbances = new ConcurrentHashMap<>();
+
+    private final Map<String, Integer> statuses = new ConcurrentHashMap<>();
+    private final AtomicInteger foreign = new AtomicInteger();
+    private final AtomicInteger unanswered = new AtomicInteger();
+    private volatile boolean ending;
+
+    private FaultSoak(Deployment deployment, Record record, long seed, int seconds, boolean trouble) {
+        this.deployment = deployment;
+        this.record = record;
+        this.random = new Random(seed);
+        this.seconds = seconds;
+        this.trouble = trouble;
+    }
+
+    /** The disturbances of one entry, which may overlap. */
+    private static final class Disturbances {
+        private int inProgress;
+        private double lastEnd;
+        private double lastReplacement;
+
+        synchronized void begin() {
+            inProgress++;
+        }
+
+        synchronized void end(double now) {
+            inProgress--;
+            lastEnd = now;
+        }
+
+        /** The process has ended and another one is ready. */
+        synchronized void replaced(double now) {
+            lastReplacement = now;
+        }
+
+        /**
+         * Returns whether a request is owed an answer.
+         *
+         * @param sentAt when it was sent, in seconds
+         * @param openedAt when its connection was opened, in seconds
+         */
+        synchronized boolean owesAnswer(double sentAt, double openedAt) {
+            return inProgress == 0 && lastEnd < sentAt - CALM_SECONDS && lastReplacement < openedAt;
+        }
+    }
+
+    /** Arguments: the record, the seed, the seconds of the play. */
+    public static void main(String[] args) throws Exception {
+        long seed = Long.parseLong(args[1]);
+        int seconds = Integer.parseInt(args[2]);
+        Deployment.run(
+                Path.of(args[0]), (d, record, trouble) -> new FaultSoak(d, record, seed, seconds, trouble).play(seed));
+    }
+
+    private int play(long seed) throws Exception {
+        int count = 3 + random.nextInt(2);
+        int faulty = 1 + random.nextInt(2);
+        boolean identified = random.nextInt(4) == 0;
+        double shedShare = random.nextDouble() * 0.3;
+        int slots = 2 + random.nextInt(3);
+        double spoiledShare = 0.02 + random.nextDouble() * 0.1;
+        int attempts = 1 + random.nextInt(3);
+        List<Integer> rejections = random.nextBoolean() ? List.of(503) : List.of(503, 429, 421);
+        int entryCount = 2 + random.nextInt(3);
+        boolean signals = random.nextInt(3) > 0;
+        for (int i = 0; i < count; i++) {
+            double spoils = trouble && i < faulty ? spoiledShare : 0;
+            var habits = new FaultyRunner.Habits(spoils, shedShare, identified, rejections);
+            FaultyRunner runner = new FaultyRunner(
+                    deployment.store, record, "i-book" + i, slots, QUEUE, WORK_MILLIS, habits, seed * 31 + i);
+            runner.register();
+            runners.add(runner);
+        }
+        String setting = "seed " + seed + ": runners " + count + ", faulty " + faulty + ", slots " + slots + ", sheds "
+                + shedShare + ", spoils " + spoiledShare + ", attempts " + attempts + ", rejections " + rejections + ", with ids "
+                + identified + ", entries " + entryCount + ", signals " + signals;
+        record.write(setting);
+        deployment.configure(
+                7,
+                route("book", "unsafe", attempts) + "," + route("read", "safe", attempts),
+                Deployment.service("booking-app"));
+        for (int i = 0; i < entryCount; i++) {
+            Deployment.Entry e = deployment.startEntry("entry-" + i);
+            serving.put(e.name(), e);
+            disturbances.put(e.name(), new Disturbances());
+        }
+        Thread.sleep(STEADY_MILLIS);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            int n = i;
+            threads.add(new Thread(() -> call(n, seed)));
+        }
+        threads.forEach(Thread::start);
+        double until = record.seconds() + seconds;
+        while (record.seconds() < until) {
+            Thread.sleep(200 + random.nextInt(800));
+            if (trouble) {
+                disturb(signals);
+            }
+        }
+        ending = true;
+        for (Thread t : threads) {
+            t.join();
+        }
+        synchronized (this) {
+            // A replacement in progress ends first.
+        }
+        Thread.sleep(SETTLE_MILLIS);
+        return judge(setting);
+    }
+
+    private static String route(String name, String type, int attempts) {
+        return Deployment.route("r-" + name, "/" + name + "/", type, BUDGET_MILLIS, attempts, "booking-app");
+    }
+
+    private void disturb(boolean signals) throws Exception {
+        FaultyRunner runner = runners.get(random.nextInt(runners.size()));
+        int millis = 50 + random.nextInt(1_500);
+        Deployment.Entry entry = new ArrayList<>(new TreeMap<>(serving).values()).get(random.nextInt(serving.size()));
+        switch (random.nextInt(signals ? 7 : 3)) {
+            case 0 -> runner.standStill(millis);
+            case 1 -> runner.loseConnections(millis / 4);
+            case 3 -> inBackground(() -> stop(entry, millis));
+            case 4 -> inBackground(() -> replace(entry, true));
+            case 5 -> inBackground(() -> replace(entry, false));
+            default -> {}
+        }
+    }
+
+    /** A step of a disturbance. */
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private void inBackground(Step step) {
+        Thread t = new Thread(() -> {
+            try {
+                step.run();
+            } catch (Exception e) {
+                record.write("a disturbance failed: " + e);
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private void stop(Deployment.Entry e, int millis) throws Exception {
+        disturbances.get(e.name()).begin();
+        record.write("entry " + e.name() + " is stopped for " + millis + " ms");
+        signal(e, "STOP");
+        Thread.sleep(millis);
+        signal(e, "CONT");
+        disturbances.get(e.name()).end(record.seconds());
+    }
+
+    private static void signal(Deployment.Entry e, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(e.process().pid())).start().waitFor();
+    }
+
+    /** Ends an entry and starts it again; at most one at a time, and never the last one. */
+    private synchronized void replace(Deployment.Entry e, boolean gracefully) throws Exception {
+        if (ending || serving.size() < 2 || !serving.remove(e.name(), e)) {
+            return;
+        }
+        disturbances.get(e.name()).begin();
+        record.write("entry " + e.name() + (gracefully ? " is asked to end" : " is killed"));
+        if (gracefully) {
+            e.process().destroy();
+        } else {
+            e.process().destroyForcibly();
+        }
+        if (!e.process().waitFor(MAX_STOP_SECONDS, TimeUnit.SECONDS)) {
+            record.write("entry " + e.name() + " does not end");
+            e.process().destroyForcibly().waitFor();
+        }
+        Deployment.Entry next = deployment.restart(e);
+        disturbances.get(e.name()).replaced(record.seconds());
+        serving.put(e.name(), next);
+        disturbances.get(e.name()).end(record.seconds());
+    }
+
+    /** Sends bookings and reads, one after the other and in rushes, on connections that are kept as long as they last. */
+    private void call(int n, long seed) {
+        Random own = new Random(seed * 1_000 + n);
+        Map<String, OpenCaller> connections = new TreeMap<>();
+        int count = 0;
+        try {
+            while (!ending) {
+                Thread.sleep(own.nextInt(3) == 0 ? own.nextInt(300) : own.nextInt(30));
+                List<Deployment.Entry> all = new ArrayList<>(new TreeMap<>(serving).values());
+                Deployment.Entry entry = all.get((n + own.nextInt(4) / 3) % all.size());
+                boolean booking = own.nextInt(4) > 0;
+                boolean leaves = own.nextInt(50) == 0;
+                send(connections, entry, booking, leaves ? 1 + own.nextInt(60) : WAIT_MILLIS,
+                        (booking ? "b" : "r") + n + "x" + count++);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        connections.values().forEach(c -> close(c.caller()));
+    }
+
+    private static void close(Caller c) {
+        try {
+            c.close();
+        } catch (IOException e) {
+            System.out.println("a connection of a caller cannot be closed: " + e);
+        }
+    }
+
+    /** A connection of a caller and when it was opened, in seconds. */
+    private record OpenCaller(Caller caller, double openedAt) {}
+
+    private void send(
+            Map<String, OpenCaller> connections, Deployment.Entry entry, boolean booking, int waitMillis, String id)
+            throws InterruptedException {
+        OpenCaller caller = connections.get(entry.name());
+        try {
+            if (caller == null || !caller.caller().usable()) {
+                OpenCaller before = caller;
+                caller = new OpenCaller(new Caller(entry.host(), entry.callers()), record.seconds());
+                connections.put(entry.name(), caller);
+                if (before != null) {
+                    close(before.caller());
+                }
+            }
+        } catch (IOException e) {
+            Thread.sleep(20);
+            return;
+        }
+        double sentAt = record.seconds();
+        Caller.Answer a = caller.caller().call(
+                booking ? "POST" : "GET",
+                (booking ? "/book/" : "/read/") + "1",
+                id,
+                (booking ? "book " + id : "").getBytes(StandardCharsets.UTF_8),
+                BUDGET_MILLIS,
+                waitMillis);
+        statuses.put(id, a.status());
+        if (a.status() == 0) {
+            close(caller.caller());
+        }
+        if (a.status() == 200 && !a.text().equals("done " + id)) {
+            foreign.incrementAndGet();
+            record.write("FOREIGN: " + id + " gets " + a.text());
+        }
+        boolean owed = disturbances.get(entry.name()).owesAnswer(sentAt, caller.openedAt());
+        if (a.status() == 0 && waitMillis == WAIT_MILLIS && owed) {
+            unanswered.incrementAndGet();
+            record.write("UNANSWERED: " + id + " at " + entry.name() + " after " + a.seconds() + " s: " + a.text());
+        }
+        if (a.status() != 200) {
+            record.write("client gets " + a.status() + " for " + id + " from " + entry.name());
+        }
+    }
+
+    private int judge(String setting) {
+        Map<Integer, Integer> byStatus = new TreeMap<>();
+        int twice = 0;
+        int refusedAndRun = 0;
+        for (Map.Entry<String, Integer> e : statuses.entrySet()) {
+            byStatus.merge(e.getValue(), 1, Integer::sum);
+            List<String> runs = record.runsOf(e.getKey());
+            boolean booking = e.getKey().startsWith("b");
+            if (booking && runs.size() > 1) {
+                twice++;
+                record.write("TWICE: " + e.getKey() + " ran at " + runs);
+            }
+            if (booking && PROMISES.contains(e.getValue()) && !runs.isEmpty()) {
+                refusedAndRun++;
+                record.write("REFUSED: " + e.getKey() + " was answered " + e.getValue() + " and ran at " + runs);
+            }
+        }
+        Map<FaultyRunner.Spoiling, Integer> spoiled = new EnumMap<>(FaultyRunner.Spoiling.class);
+        runners.forEach(r -> r.spoiled().forEach((way, n) -> spoiled.merge(way, n, Integer::sum)));
+        String line = "requests " + statuses.size() + ", by status " + byStatus + ", spoiled " + spoiled + ", ran twice "
+                + twice + ", refused and run " + refusedAndRun + ", foreign " + foreign + ", unanswered " + unanswered;
+        record.write(line);
+        System.out.println(setting);
+        System.out.println(line);
+        if (twice + refusedAndRun + foreign.get() + unanswered.get() > 0) {
+            return 1;
+        }
+        return byStatus.getOrDefault(200, 0) < MIN_SERVED ? 2 : 0;
+    }
+}
--- /dev/null
+++ b/review/standins/FaultyRunner.java
@@ -0,0 +1,206 @@
+package review;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A runner that spoils some of its answers, rejects some requests though it has room, and stands still or loses all its
+ * connections when it is told to. Each choice is drawn from a seed; what requests get it also depends on the order in which
+ * they arrive.
+ */
+final class FaultyRunner extends ServiceRunner {
+    private static final int MAX_LATE_MILLIS = 300;
+    private static final byte[] GARBAGE = "no answer in the protocol\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    /** What happens to an answer. */
+    enum Spoiling {
+        /** The answer comes again with the same bytes, so that both may be read at once. */
+        COPY_AT_ONCE,
+        /** The answer comes again, its head in two parts. */
+        COPY_IN_PARTS,
+        /** The answer comes again after a while, whether or not a request waits by then. */
+        COPY_LATER,
+        /** The answer comes again when the next request on the connection has begun to run. */
+        COPY_AT_NEXT_REQUEST,
+        /** Bytes that are no answer follow. */
+        GARBAGE_AFTER,
+        /** An interim answer comes first. */
+        INTERIM_FIRST,
+        /** The answer ends in the middle. */
+        BREAK_OFF,
+        /** The connection is closed in place of an answer. */
+        CLOSE
+    }
+
+    /**
+     * How a runner behaves.
+     *
+     * @param spoiledShare the part of its answers that it spoils
+     * @param shedShare the part of the requests that it rejects though it has room
+     * @param identifiesRejections whether its rejections bear the id of the request
+     * @param rejections the statuses of its rejections
+     */
+    record Habits(
+            double spoiledShare, double shedShare, boolean identifiesRejections, List<Integer> rejections) {}
+
+    private final Habits habits;
+    private final Random random;
+    private final Map<Connection, byte[]> copies = new ConcurrentHashMap<>();
+    private final Map<Spoiling, Integer> spoiled = new ConcurrentHashMap<>();
+    private final AtomicLong stillUntil = new AtomicLong();
+    private final AtomicLong downUntil = new AtomicLong();
+
+    FaultyRunner(StoreStandin store, Record record, String id, int slots, int queue, long workMillis, Habits habits,
+            long seed) throws IOException {
+        super(store, record, id, "booking-app", slots, queue, workMillis);
+        this.habits = habits;
+        this.random = new Random(seed);
+    }
+
+    /** Returns how many answers were spoiled, by the way. */
+    Map<Spoiling, Integer> spoiled() {
+        return Map.copyOf(spoiled);
+    }
+
+    /** Reads nothing and answers nothing for a while; what arrives meanwhile is read after it. */
+    void standStill(int millis) {
+        record.write("runner " + id + " stands still for " + millis + " ms");
+        stillUntil.set(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** Resets all connections, and new ones for a while. */
+    void loseConnections(int millis) throws IOException {
+        record.write("runner " + id + " resets its connections for " + millis + " ms");
+        downUntil.set(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis));
+        resetConnections();
+    }
+
+    private synchronized double draw() {
+        return random.nextDouble();
+    }
+
+    private synchronized int draw(int bound) {
+        return random.nextInt(bound);
+    }
+
+    private void waitWhileStill() throws InterruptedException {
+        for (long left = stillUntil.get() - System.nanoTime(); left > 0; left = stillUntil.get() - System.nanoTime()) {
+            TimeUnit.NANOSECONDS.sleep(left);
+        }
+    }
+
+    @Override
+    boolean handle(Request r, Connection c) throws Exception {
+        waitWhileStill();
+        if (System.nanoTime() < downUntil.get()) {
+            c.socket.setSoLinger(true, 0);
+            return false;
+        }
+        boolean service = r.path().startsWith("/book/") || r.path().startsWith("/read/");
+        String expected = r.header(PREFIX + "Expect-Instance");
+        if (service && (expected.isEmpty() || expected.equals(id)) && draw() < habits.shedShare()) {
+            return shed(r, c);
+        }
+        return super.handle(r, c);
+    }
+
+    @Override
+    boolean shed(Request r, Connection c) throws Exception {
+        String request = r.header(PREFIX + "Request-Id");
+        int status = habits.rejections().get(draw(habits.rejections().size()));
+        String identity = habits.identifiesRejections() ? PREFIX + "Request-Id: " + request + "\r\n" : "";
+        record.write("runner " + id + " rejects " + request + " with " + status);
+        return answer(c, request, response(status, identity + PREFIX + "Not-Executed: 1\r\n", new byte[0]));
+    }
+
+    @Override
+    boolean run(Request r, Connection c) throws Exception {
+        String request = r.header(PREFIX + "Request-Id");
+        record.ran(request, id);
+        byte[] copy = copies.remove(c);
+        if (copy != null) {
+            record.write("runner " + id + " sends its copy; on this connection waits " + request);
+            write(c, copy);
+        }
+        TimeUnit.MILLISECONDS.sleep(workMillis());
+        waitWhileStill();
+        byte[] body = ("done " + request).getBytes(StandardCharsets.UTF_8);
+        return answer(c, request, response(200, answerHeaders(request), body));
+    }
+
+    /** Sends an answer, spoiled or not; returns whether the connection is kept. */
+    private boolean answer(Connection c, String request, byte[] answer) throws Exception {
+        if (draw() >= habits.spoiledShare()) {
+            write(c, answer);
+            return true;
+        }
+        Spoiling way = Spoiling.values()[draw(Spoiling.values().length)];
+        spoiled.merge(way, 1, Integer::sum);
+        record.write("runner " + id + " spoils its answer to " + request + ": " + way);
+        switch (way) {
+            case COPY_AT_ONCE -> write(c, join(answer, answer));
+            case COPY_IN_PARTS -> {
+                int cut = 1 + draw(answer.length - 1);
+                write(c, join(answer, Arrays.copyOf(answer, cut)));
+                sendLater(c, request, Arrays.copyOfRange(answer, cut, answer.length));
+            }
+            case COPY_LATER -> {
+                write(c, answer);
+                sendLater(c, request, answer);
+            }
+            case COPY_AT_NEXT_REQUEST -> {
+                copies.put(c, answer);
+                write(c, answer);
+            }
+            case GARBAGE_AFTER -> write(c, join(answer, GARBAGE));
+            case INTERIM_FIRST -> write(c, join("HTTP/1.1 103 X\r\n\r\n".getBytes(StandardCharsets.US_ASCII), answer));
+            case BREAK_OFF -> {
+                write(c, Arrays.copyOf(answer, draw(answer.length)));
+                return false;
+            }
+            case CLOSE -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void sendLater(Connection c, String request, byte[] bytes) {
+        int millis = draw(MAX_LATE_MILLIS);
+        Thread t = new Thread(() -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(millis);
+                record.write("runner " + id + " sends bytes of its answer to " + request + " late");
+                write(c, bytes);
+            } catch (IOException e) {
+                record.write("runner " + id + " cannot send bytes later: " + e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private static void write(Connection c, byte[] bytes) throws IOException {
+        synchronized (c) {
+            c.out.write(bytes);
+            c.out.flush();
+        }
+    }
+
+    private static byte[] join(byte[] first, byte[] second) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(first);
+        all.writeBytes(second);
+        return all.toByteArray();
+    }
+}
--- a/review/standins/RawServer.java
+++ b/review/standins/RawServer.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -78,6 +79,18 @@
         }
     }
 
+    /** Resets all connections, as when the process ends; new ones are accepted. */
+    final void resetConnections() throws IOException {
+        for (Socket s : open) {
+            try {
+                s.setSoLinger(true, 0);
+            } catch (SocketException e) {
+                // Its thread has closed the connection meanwhile.
+            }
+            s.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         closed = true;
--- a/review/standins/ServiceRunner.java
+++ b/review/standins/ServiceRunner.java
@@ -37,6 +37,10 @@
         this.free = new Semaphore(slots, true);
     }
 
+    final long workMillis() {
+        return workMillis;
+    }
+
     void register() {
         start();
         Thread t = new Thread(this::heartbeat, "heartbeat-" + id);
