--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -46,8 +46,12 @@
 
     /** Receives the response to a call. */
     interface Listener {
-        /** The status and headers of the response were received. */
-        void headers(BackendCall call, int status, HttpFields headers);
+        /**
+         * The status and headers of the response were received.
+         *
+         * @param connectionCalls the number of calls that the connection has carried, this one included
+         */
+        void headers(BackendCall call, int status, HttpFields headers, int connectionCalls);
 
         /** A part of the body was received. */
         void content(BackendCall call, ByteBuffer bytes);
@@ -192,7 +196,9 @@
             response.abort(new CancelledException("response belongs to another request"));
             return;
         }
-        listener.headers(this, response.getStatus(), headers);
+        int connectionCalls =
+                MeteredConnection.of(request).map(MeteredConnection::calls).orElse(0);
+        listener.headers(this, response.getStatus(), headers, connectionCalls);
     }
 
     @Override
--- a/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -14,12 +14,24 @@
     private final EventSplitter splitter = new EventSplitter();
     private int status;
     private HttpFields headers = HttpFields.EMPTY;
+    private int connectionCalls;
     private Optional<Moment> lastEventAt = Optional.empty();
     private boolean silenceRecorded;
 
-    void head(int newStatus, HttpFields newHeaders) {
+    /**
+     * The status and headers were received.
+     *
+     * @param calls the number of calls that the connection has carried, this one included
+     */
+    void head(int newStatus, HttpFields newHeaders, int calls) {
         status = newStatus;
         headers = newHeaders;
+        connectionCalls = calls;
+    }
+
+    /** Returns the number of calls that the connection has carried, this one included; 0 until the head is received. */
+    int connectionCalls() {
+        return connectionCalls;
     }
 
     /** Returns the status; 0 until it is received. */
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -271,17 +271,18 @@
     }
 
     @Override
-    public void headers(BackendCall from, int newStatus, HttpFields headers) {
+    public void headers(BackendCall from, int newStatus, HttpFields headers, int connectionCalls) {
         Moment now = context.clock().now();
-        runOrFail(() -> receiveHead(from, newStatus, headers, now), now);
+        runOrFail(() -> receiveHead(from, newStatus, headers, connectionCalls, now), now);
     }
 
-    private synchronized void receiveHead(BackendCall from, int newStatus, HttpFields headers, Moment now) {
+    private synchronized void receiveHead(
+            BackendCall from, int newStatus, HttpFields headers, int connectionCalls, Moment now) {
         if (isStale(from)) {
             return;
         }
         lastReceivedAt = now;
-        answer.head(newStatus, headers);
+        answer.head(newStatus, headers, connectionCalls);
         response.setHead(newStatus, headers);
         bufferedBody.clear();
     }
@@ -435,7 +436,7 @@
     private record PendingRetry(Refusal otherwise, boolean budgeted, String reason) {}
 
     private NextStep retry(String reason) {
-        log.retry(reason, destination, response.lastEventId());
+        log.retry(reason, destination, answer, response.lastEventId());
         return NextStep.FIND_DESTINATION;
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/ExchangeLog.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ExchangeLog.java
@@ -42,7 +42,13 @@
         context.log().write("relay", reason, "request", requestId, "entry", to.id(), "attempts", to.attempts());
     }
 
-    void retry(String reason, Optional<Destination> after, long lastEventId) {
+    /**
+     * Logs that the request is sent again.
+     *
+     * @param after the destination of the last call
+     * @param answer the response to the last call
+     */
+    void retry(String reason, Optional<Destination> after, CallAnswer answer, long lastEventId) {
         context.log()
                 .write(
                         "retry",
@@ -53,12 +59,22 @@
                         after.map(Destination::key).orElse(""),
                         "runs",
                         progress.attempts(),
+                        "answerStatus",
+                        answer.status(),
+                        "answerNamesRequest",
+                        namesRequest(answer),
+                        "connectionCalls",
+                        answer.connectionCalls(),
                         "lastEvent",
                         lastEventId,
                         "entries",
                         context.entryCount());
     }
 
+    private boolean namesRequest(CallAnswer answer) {
+        return answer.headers().contains(context.headerNames().requestId());
+    }
+
     /**
      * Logs how the request ended.
      *
@@ -88,6 +104,9 @@
             "runs", progress.attempts(),
             "tried", progress.triedTargets().size(),
             "waitedMs", waitedMillis,
+            "answerStatus", answer.status(),
+            "answerNamesRequest", namesRequest(answer),
+            "connectionCalls", answer.connectionCalls(),
             "totalMs", now.monotonicMillisSince(receivedAt),
             "silentMs", answer.silence(now).map(Duration::toMillis).orElse(-1L),
             "versionAtArrival", versionAtArrival,
--- a/entry/src/main/java/org/baobabspindle/gateway/ResetAwareEndPoint.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ResetAwareEndPoint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.baobabspindle.port.MeteredConnection;
 import org.eclipse.jetty.http.BadMessageException;
@@ -32,6 +33,7 @@
 
     private final SocketChannel channel;
     private final AtomicLong overhead = new AtomicLong();
+    private final AtomicInteger calls = new AtomicInteger();
     private int readInTurn;
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
@@ -42,6 +44,12 @@
     @Override
     public void callBegan() {
         overhead.set(0);
+        calls.incrementAndGet();
+    }
+
+    @Override
+    public int calls() {
+        return calls.get();
     }
 
     /** Content makes up for as many bytes of its framing, but not for bytes that follow later. */
--- a/entry/src/main/java/org/baobabspindle/port/MeteredConnection.java
+++ b/entry/src/main/java/org/baobabspindle/port/MeteredConnection.java
@@ -12,6 +12,13 @@
     /** A call is about to be sent. */
     void callBegan();
 
+    /**
+     * Returns how many calls have begun on this connection.
+     *
+     * @return the number of calls, the current one included
+     */
+    int calls();
+
     /**
      * A part of the content of the current call was received.
      *
