--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -99,7 +99,7 @@
     private final GatewaySettings settings;
     private final QueuedThreadPool threads;
     private final HttpClient client;
-    private final HttpClient probeClient;
+    private final HttpClient singleUseClient;
     private final PlatformStore store;
     private final FleetTable fleet;
     private final ReachabilityMonitor reachability = new ReachabilityMonitor(clock, log);
@@ -134,7 +134,7 @@
         threads.setName("gateway");
         threads.setDaemon(true);
         client = GatewayServer.startClient(threads);
-        probeClient = GatewayServer.startProbeClient(threads);
+        singleUseClient = GatewayServer.startSingleUseClient(threads);
         RecentPages recent = new RecentPages();
         store = new RelayedStore(
                 platform.store(client), this::readsFromFollowers, this::readFromFollower, recent, clock);
@@ -158,7 +158,7 @@
         reachabilityProber = new ReachabilityProber(
                 reachability,
                 fleet,
-                platform.engines(probeClient, notices::probeResponseReceived),
+                platform.engines(singleUseClient, notices::probeResponseReceived),
                 this::reachabilityChanged);
         crashGuard = new CrashGuard(fleet, engines, clock, log, metrics, new SynchronizedRandom(random.split()));
         context = createContext(dispatcher, notices, platform.headers(), random.split(), bodyBudget);
@@ -212,7 +212,8 @@
     }
 
     private EnginePort observedEngines(Platform platform, ServerNotices notices) {
-        return new ObservedEnginePort(platform.engines(client, notices::probeResponseReceived), reachability, clock);
+        return new ObservedEnginePort(
+                platform.engines(singleUseClient, notices::probeResponseReceived), reachability, clock);
     }
 
     private void reachabilityChanged(Reachability state) {
@@ -308,7 +309,7 @@
     void shutDown() throws Exception {
         timer.shutdownNow();
         server.stop();
-        probeClient.stop();
+        singleUseClient.stop();
         client.stop();
         peerServer.close();
         mesh.close();
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayServer.java
@@ -118,7 +118,7 @@
     }
 
     /** Starts a client that uses a new connection for each request. */
-    static HttpClient startProbeClient(QueuedThreadPool threads) throws Exception {
+    static HttpClient startSingleUseClient(QueuedThreadPool threads) throws Exception {
         return startClient(threads, GatewayServer::singleUsePool);
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -92,6 +92,7 @@
     private volatile Optional<CompletableFuture<Void>> releases = Optional.empty();
     private volatile boolean releasesRejected;
     private volatile Optional<CompletableFuture<Long>> terms = Optional.empty();
+    private final List<HttpClient> engineClients = new CopyOnWriteArrayList<>();
     private final AtomicInteger renewalCount = new AtomicInteger();
     private final AtomicInteger releaseCount = new AtomicInteger();
 
@@ -164,6 +165,11 @@
         }
     }
 
+    /** Returns the clients that the gateway uses for orders and probes. */
+    List<HttpClient> engineClients() {
+        return engineClients;
+    }
+
     String callersUrl() {
         return "http://127.0.0.1:" + ports.get(0);
     }
@@ -395,6 +401,7 @@
 
     @Override
     public EnginePort engines(HttpClient client, ResponseHeadListener heads) {
+        engineClients.add(client);
         return this;
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/LateRefusalTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/LateRefusalTests.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -134,6 +135,25 @@
         }
     }
 
+    /** The responses to orders and probes bear no ids. */
+    @Test
+    void responsesToOrdersAndProbesCannotBeLateCopies() throws Exception {
+        Set<Socket> connections = ConcurrentHashMap.newKeySet();
+        start((request, out, socket) -> {
+            connections.add(socket);
+            serve(request, out);
+        });
+        int calls = 0;
+        for (HttpClient client : platform.engineClients()) {
+            for (int i = 0; i < FEW_REQUESTS; i++) {
+                client.GET("http://127.0.0.1:" + backends.get(0).port() + "/order");
+                calls++;
+            }
+        }
+        assertThat(calls).isAtLeast(FEW_REQUESTS);
+        assertThat(connections).hasSize(calls);
+    }
+
     @Test
     void requestThatWasRefusedWithoutItsIdIsServedByAnotherServer() throws Exception {
         start(
