--- a/core/src/main/java/org/baobabspindle/core/dispatch/RelayPolicy.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/RelayPolicy.java
@@ -54,18 +54,28 @@
      * A call in progress.
      *
      * @param sent whether the request may have been sent
-     * @param direct whether it is a call to a backend server and not to another entry
+     * @param to where it is sent
      * @param repeatable whether its request may be sent again, by its route and the attempts left
      * @param lastReceivedAt when it last received something; when it began, if nothing was received
      * @param othersHeard whether any backend server was heard from within {@link #MIN_SILENCE}
      */
     public record CallInProgress(
-            boolean sent, boolean direct, boolean repeatable, Moment lastReceivedAt, boolean othersHeard) {
+            boolean sent, Receiver to, boolean repeatable, Moment lastReceivedAt, boolean othersHeard) {
         private boolean silent(Moment now) {
             return !othersHeard && lastReceivedAt.isBefore(now.minus(MIN_SILENCE));
         }
     }
 
+    /** Where a call is sent. */
+    public enum Receiver {
+        /** A backend server. */
+        SERVER,
+        /** Another entry, which reaches backend servers as far as is known. */
+        ENTRY,
+        /** Another entry, which has stated that it is partitioned from all backend servers as well. */
+        PARTITIONED_ENTRY
+    }
+
     /**
      * Returns the path of a request. Without another entry, a response that has begun is continued by the servers that
      * this entry may still reach.
@@ -85,7 +95,8 @@
 
     /**
      * Returns what to do with a call of a request. A call that was sent is moved only while no server at all is heard
-     * from: while other connections work, its server may still be processing it.
+     * from: while other connections work, its server may still be processing it. A call to another entry is moved if that
+     * entry is partitioned as well, since it never relays the request again.
      *
      * @param request the request
      * @param call its call
@@ -96,11 +107,11 @@
      */
     public static CallAction action(
             PendingRequest request, CallInProgress call, boolean partitioned, boolean entryAvailable, Moment now) {
-        if (!partitioned || !call.direct()) {
+        if (!partitioned || call.to() == Receiver.ENTRY) {
             return CallAction.KEEP;
         }
         Path path = path(request, true, entryAvailable);
-        if (!call.sent()) {
+        if (!call.sent() && call.to() == Receiver.SERVER) {
             return path == Path.DIRECT ? CallAction.KEEP : CallAction.WITHDRAW;
         }
         return path == Path.RELAY && call.repeatable() && call.silent(now) ? CallAction.MOVE : CallAction.KEEP;
--- a/core/src/test/java/org/baobabspindle/core/dispatch/RelayPolicyTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/RelayPolicyTests.java
@@ -7,6 +7,7 @@
 import org.baobabspindle.core.dispatch.RelayPolicy.CallInProgress;
 import org.baobabspindle.core.dispatch.RelayPolicy.Path;
 import org.baobabspindle.core.dispatch.RelayPolicy.PendingRequest;
+import org.baobabspindle.core.dispatch.RelayPolicy.Receiver;
 import org.baobabspindle.core.time.Moment;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -71,21 +72,21 @@
             return RelayPolicy.action(request, call, true, true, NOW);
         }
 
-        private CallInProgress silent(boolean sent, boolean direct, boolean repeatable) {
-            return new CallInProgress(sent, direct, repeatable, LONG_AGO, false);
+        private CallInProgress silent(boolean sent, Receiver to, boolean repeatable) {
+            return new CallInProgress(sent, to, repeatable, LONG_AGO, false);
         }
 
         @Test
         void areKeptWhileServersAreReachable() {
-            assertThat(RelayPolicy.action(OF_CALLER, silent(true, true, true), false, true, NOW))
+            assertThat(RelayPolicy.action(OF_CALLER, silent(true, Receiver.SERVER, true), false, true, NOW))
                     .isEqualTo(CallAction.KEEP);
-            assertThat(RelayPolicy.action(OF_CALLER, silent(false, true, true), false, true, NOW))
+            assertThat(RelayPolicy.action(OF_CALLER, silent(false, Receiver.SERVER, true), false, true, NOW))
                     .isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void unsentCallIsWithdrawn() {
-            CallInProgress call = new CallInProgress(false, true, false, NOW, false);
+            CallInProgress call = new CallInProgress(false, Receiver.SERVER, false, NOW, false);
             assertThat(action(OF_CALLER, call)).isEqualTo(CallAction.WITHDRAW);
             assertThat(action(OF_ENTRY, call)).isEqualTo(CallAction.WITHDRAW);
         }
@@ -93,44 +94,55 @@
         @Test
         void unsentCallOfAResponseThatHasBegunIsKeptWithoutAnotherEntry() {
             PendingRequest begun = new PendingRequest(false, 0, false, true);
-            assertThat(RelayPolicy.action(begun, silent(false, true, true), true, false, NOW))
+            assertThat(RelayPolicy.action(begun, silent(false, Receiver.SERVER, true), true, false, NOW))
                     .isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void silentCallIsMovedIfItMayBeRepeated() {
-            assertThat(action(OF_CALLER, silent(true, true, true))).isEqualTo(CallAction.MOVE);
-            assertThat(action(OF_CALLER, silent(true, true, false))).isEqualTo(CallAction.KEEP);
+            assertThat(action(OF_CALLER, silent(true, Receiver.SERVER, true))).isEqualTo(CallAction.MOVE);
+            assertThat(action(OF_CALLER, silent(true, Receiver.SERVER, false))).isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void silentCallIsKeptWithoutAnotherEntry() {
-            assertThat(RelayPolicy.action(OF_CALLER, silent(true, true, true), true, false, NOW))
+            assertThat(RelayPolicy.action(OF_CALLER, silent(true, Receiver.SERVER, true), true, false, NOW))
                     .isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void callThatReceivedSomethingRecentlyIsKept() {
             Moment recent = NOW.minus(RelayPolicy.MIN_SILENCE);
-            assertThat(action(OF_CALLER, new CallInProgress(true, true, true, recent, false)))
+            assertThat(action(OF_CALLER, new CallInProgress(true, Receiver.SERVER, true, recent, false)))
                     .isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void silentCallIsKeptWhileOtherServersAreHeardFrom() {
-            assertThat(action(OF_CALLER, new CallInProgress(true, true, true, LONG_AGO, true)))
+            assertThat(action(OF_CALLER, new CallInProgress(true, Receiver.SERVER, true, LONG_AGO, true)))
                     .isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void callToAnotherEntryIsKept() {
-            assertThat(action(OF_CALLER, silent(true, false, true))).isEqualTo(CallAction.KEEP);
-            assertThat(action(OF_CALLER, silent(false, false, true))).isEqualTo(CallAction.KEEP);
+            assertThat(action(OF_CALLER, silent(true, Receiver.ENTRY, true))).isEqualTo(CallAction.KEEP);
+            assertThat(action(OF_CALLER, silent(false, Receiver.ENTRY, true))).isEqualTo(CallAction.KEEP);
+        }
+
+        @Test
+        void silentCallToAPartitionedEntryIsMovedIfItMayBeRepeated() {
+            assertThat(action(OF_CALLER, silent(true, Receiver.PARTITIONED_ENTRY, true)))
+                    .isEqualTo(CallAction.MOVE);
+            assertThat(action(OF_CALLER, silent(true, Receiver.PARTITIONED_ENTRY, false)))
+                    .isEqualTo(CallAction.KEEP);
+            CallInProgress recent = new CallInProgress(
+                    true, Receiver.PARTITIONED_ENTRY, true, NOW.minus(RelayPolicy.MIN_SILENCE), false);
+            assertThat(action(OF_CALLER, recent)).isEqualTo(CallAction.KEEP);
         }
 
         @Test
         void sentCallOfARelayedRequestIsKept() {
-            assertThat(action(OF_ENTRY, silent(true, true, true))).isEqualTo(CallAction.KEEP);
+            assertThat(action(OF_ENTRY, silent(true, Receiver.SERVER, true))).isEqualTo(CallAction.KEEP);
         }
     }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
@@ -48,6 +48,11 @@
         return surroundings.peers().relayPeer(except, id -> outstanding.getOrDefault(id, 0), now);
     }
 
+    /** Returns whether an entry has stated that it is partitioned from all backend servers. */
+    boolean isPartitioned(InstanceId entry) {
+        return surroundings.peers().isPartitioned(entry);
+    }
+
     /** A request no longer occupies a slot of its server for this entry, but for another one. */
     void requestMoved(InstanceId to) {
         moveTargets.add(to);
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -326,8 +326,8 @@
         return result;
     }
 
-    /** Returns whether an entry said last that it is partitioned from the backend servers. */
-    synchronized boolean isPartitioned(InstanceId entry) {
+    @Override
+    public synchronized boolean isPartitioned(InstanceId entry) {
         Peer p = peers.get(entry);
         return p != null && p.partitioned;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/RelayPeers.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RelayPeers.java
@@ -16,4 +16,7 @@
      * @param outstanding the number of requests that are being relayed to an entry
      */
     Optional<EntryAnnouncement> relayPeer(Set<InstanceId> except, ToIntFunction<InstanceId> outstanding, Moment now);
+
+    /** Returns whether an entry said last that it is partitioned from the backend servers. */
+    boolean isPartitioned(InstanceId entry);
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -7,6 +7,7 @@
 import org.baobabspindle.core.dispatch.RelayPolicy;
 import org.baobabspindle.core.dispatch.RelayPolicy.CallAction;
 import org.baobabspindle.core.dispatch.RelayPolicy.Path;
+import org.baobabspindle.core.dispatch.RelayPolicy.Receiver;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
@@ -300,10 +301,16 @@
                 : () -> {};
     }
 
+    private Receiver receiver(Destination to) {
+        return to.entry()
+                .map(e -> context.relay().isPartitioned(e.id()) ? Receiver.PARTITIONED_ENTRY : Receiver.ENTRY)
+                .orElse(Receiver.SERVER);
+    }
+
     private CallAction chooseAction(BackendCall call, boolean responseBegun, Moment lastReceivedAt, Moment now) {
         RelayPolicy.CallInProgress inProgress = new RelayPolicy.CallInProgress(
                 call.isSent(),
-                call.destination().server().isPresent(),
+                receiver(call.destination()),
                 isRepeatable() && attempts + 1 < admission.maxAttempts(),
                 lastReceivedAt,
                 context.relay().link().heardWithin(RelayPolicy.MIN_SILENCE));
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayPeerTests.java
@@ -56,6 +56,11 @@
                 .findFirst();
     }
 
+    @Override
+    public boolean isPartitioned(InstanceId entry) {
+        return false;
+    }
+
     private void addEntry(int port) {
         entries.add(new EntryAnnouncement(
                 new Incarnation(InstanceId.of("e" + entries.size()), 1),
--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.baobabspindle.peer.PeerSecret;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -28,6 +29,9 @@
     /** The slots of each backend server. */
     private static final int SLOTS = server("b1", 1).slots();
 
+    /** Enough for another entry to start. */
+    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(8);
+
     private static final RelayMark NEW = new RelayMark(1, RelayMark.Stage.NEW, 1);
 
     private final SwitchedLink link = new SwitchedLink();
@@ -214,6 +218,25 @@
         }
 
         /** The server has as many slots as there are streams, and the other entry knows them to be taken. */
+        /** The entry that took the request over keeps waiting for a server that it no longer reaches. */
+        @Test
+        void requestRelayedToAnEntryThatIsPartitionedNextMovesOn() throws Exception {
+            AtomicInteger received = new AtomicInteger();
+            start(configuration(LONG_TIMEOUT), link::replaceIn, (request, out, socket) -> {
+                if (received.getAndIncrement() == 0) {
+                    otherLink.cut();
+                    RawBackend.awaitClose(socket);
+                }
+                RawBackend.write(out, plain(request, "done"));
+            });
+            startOtherNode(otherLink::replaceIn);
+            link.cut();
+            CompletableFuture<Integer> status = CompletableFuture.supplyAsync(() -> statusOfPost("/safe/x"));
+            await(() -> received.get() > 0);
+            startThirdNode();
+            assertThat(status.get(10, TimeUnit.SECONDS)).isEqualTo(200);
+        }
+
         @Test
         void streamsThatMoveTogetherGetTheSlotsThatTheyLeave() throws Exception {
             startBoth((request, out, socket) -> {
--- a/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/TwoEntryTestSupport.java
@@ -4,20 +4,22 @@
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.function.UnaryOperator;
 import org.baobabspindle.core.fleet.BackendServer;
 import org.junit.jupiter.api.AfterEach;
 
-/** Base of tests with a second gateway that shares the store with the first, and with servers that can crash. */
+/** Base of tests with a second gateway, and perhaps a third one, that shares the store with the first, and with servers that can crash. */
 abstract class TwoEntryTestSupport extends GatewayTestSupport {
     FakePlatform otherPlatform;
-    private GatewayNode otherNode;
+    private final List<GatewayNode> otherNodes = new ArrayList<>();
 
     @AfterEach
-    void shutDownOtherNode() throws Exception {
-        if (otherNode != null) {
-            otherNode.shutDown();
+    void shutDownOtherNodes() throws Exception {
+        for (GatewayNode n : otherNodes) {
+            n.shutDown();
         }
     }
 
@@ -37,11 +39,19 @@
         for (BackendServer s : relisted) {
             otherPlatform.relist(s);
         }
-        otherNode = GatewayNode.open(otherPlatform, adaptation);
+        otherNodes.add(GatewayNode.open(otherPlatform, adaptation));
         await(() -> status(otherPlatform.readinessUrl()) == 200);
         await(() -> knownEntries(platform) == 2 && knownEntries(otherPlatform) == 2);
     }
 
+    /** Starts a third gateway after the second one, and waits until the first one knows it. */
+    void startThirdNode() throws Exception {
+        FakePlatform third = new FakePlatform("third", platform);
+        otherNodes.add(GatewayNode.open(third));
+        await(() -> status(third.readinessUrl()) == 200);
+        await(() -> addressesFrom(platform).contains("127.0.0.1:" + third.callerPort()));
+    }
+
     private int knownEntries(FakePlatform entry) {
         return addressesFrom(entry).size();
     }
