--- a/entry/src/main/java/org/baobabspindle/serving/IdempotencyKeys.java
+++ b/entry/src/main/java/org/baobabspindle/serving/IdempotencyKeys.java
@@ -27,20 +27,25 @@
 
     private record AccountKey(ClientAccountId account, RequestKey key) {}
 
-    IdempotencyKeyTable.Decision begin(Instant now, CallerRequest request, boolean intentWon) {
+    /**
+     * What to do with a request.
+     *
+     * @param decision the decision
+     * @param running the result to wait for; present if another request with the key is running
+     */
+    record Begun(IdempotencyKeyTable.Decision decision, Optional<CompletableFuture<RequestResult>> running) {}
+
+    Begun begin(Instant now, CallerRequest request, boolean intentWon) {
         RequestKey key = request.key().orElseThrow();
+        AccountKey accountKey = new AccountKey(request.account(), key);
+        Optional<CompletableFuture<RequestResult>> running = Optional.ofNullable(runningResults.get(accountKey));
         IdempotencyKeyTable.Decision decision = intentWon
                 ? table.resume(now, request.account(), key, request.fingerprint())
                 : table.begin(now, request.account(), key, request.fingerprint());
         if (decision instanceof IdempotencyKeyTable.Decision.Run) {
-            runningResults.put(new AccountKey(request.account(), key), new CompletableFuture<>());
+            runningResults.put(accountKey, new CompletableFuture<>());
         }
-        return decision;
-    }
-
-    Optional<CompletableFuture<RequestResult>> runningResult(CallerRequest request) {
-        return Optional.ofNullable(runningResults.get(
-                new AccountKey(request.account(), request.key().orElseThrow())));
+        return new Begun(decision, running);
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/serving/RequestService.java
+++ b/entry/src/main/java/org/baobabspindle/serving/RequestService.java
@@ -112,11 +112,11 @@
         if (ticket.isPresent() && ticket.get().isExpired(now)) {
             return new Outcome.Unknown("the key exceeded its lifetime of " + Ticket.LIFETIME);
         }
-        IdempotencyKeyTable.Decision decision = tables.keys().with(k -> k.begin(now, request, ticket.isEmpty()));
-        if (decision instanceof IdempotencyKeyTable.Decision.Run) {
+        IdempotencyKeys.Begun begun = tables.keys().with(k -> k.begin(now, request, ticket.isEmpty()));
+        if (begun.decision() instanceof IdempotencyKeyTable.Decision.Run) {
             return runAndFinish(request, sink);
         }
-        return answerWithoutRunning(decision, request, sink);
+        return answerWithoutRunning(begun, request, sink);
     }
 
     /** Reserves the key locally, then appends an intent, by which the log decides which entry may run the request. */
@@ -127,12 +127,12 @@
             return new Outcome.Unknown(
                     "the log is unavailable; without it, a key without a ticket may have run before; retry later");
         }
-        IdempotencyKeyTable.Decision decision = tables.keys().with(k -> k.begin(now, request, false));
-        if (decision instanceof IdempotencyKeyTable.Decision.Full) {
+        IdempotencyKeys.Begun begun = tables.keys().with(k -> k.begin(now, request, false));
+        if (begun.decision() instanceof IdempotencyKeyTable.Decision.Full) {
             return new Outcome.Unknown("the key table is full, so no intent was appended for this key");
         }
-        if (!(decision instanceof IdempotencyKeyTable.Decision.Run)) {
-            return answerWithoutRunning(decision, request, sink);
+        if (!(begun.decision() instanceof IdempotencyKeyTable.Decision.Run)) {
+            return answerWithoutRunning(begun, request, sink);
         }
         Optional<LogAppender.AppendResult> intentResult = awaitIntent(request);
         if (intentResult.isPresent() && intentResult.get().verdict().isAccepted()) {
@@ -195,13 +195,13 @@
         return outcome instanceof Outcome.Unknown ? Settlement.UNKNOWN : Settlement.NOT_RUN;
     }
 
-    private Outcome answerWithoutRunning(
-            IdempotencyKeyTable.Decision decision, CallerRequest request, ResponseSink sink) {
+    private Outcome answerWithoutRunning(IdempotencyKeys.Begun begun, CallerRequest request, ResponseSink sink) {
+        IdempotencyKeyTable.Decision decision = begun.decision();
         if (decision instanceof IdempotencyKeyTable.Decision.Answered answered) {
             return replay(answered.answer(), sink);
         }
         if (decision instanceof IdempotencyKeyTable.Decision.Running) {
-            return awaitRunning(request, sink);
+            return awaitRunning(begun.running(), request, sink);
         }
         if (decision instanceof IdempotencyKeyTable.Decision.Mismatch) {
             return new Outcome.Refused(
@@ -213,8 +213,8 @@
         return new Outcome.Unknown("the request ran before and its answer is not stored");
     }
 
-    private Outcome awaitRunning(CallerRequest request, ResponseSink sink) {
-        Optional<CompletableFuture<RequestResult>> running = tables.keys().with(k -> k.runningResult(request));
+    private Outcome awaitRunning(
+            Optional<CompletableFuture<RequestResult>> running, CallerRequest request, ResponseSink sink) {
         long timeoutMillis =
                 Duration.between(tables.clock().instant(), request.deadline()).toMillis();
         if (running.isEmpty() || timeoutMillis <= 0) {
--- a/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
+++ b/entry/src/test/java/org/baobabspindle/serving/FakeCluster.java
@@ -53,6 +53,7 @@
     private final Map<RequestKey, Integer> runs = new HashMap<>();
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private boolean logDown;
+    private boolean reliable;
 
     FakeCluster(long seed, int entryCount, int maxKeys) {
         this.maxKeys = maxKeys;
@@ -92,6 +93,11 @@
         logDown = down;
     }
 
+    /** Makes each request run and complete; requests may then be sent by several threads. */
+    void makeReliable() {
+        reliable = true;
+    }
+
     void advance(Duration time) {
         now = now.plus(time);
     }
@@ -225,7 +231,7 @@
 
     /** Runs a request; fails at random, before or after the request ran. */
     private Outcome run(CallerRequest request, ResponseSink sink) {
-        int scenario = random.nextInt(5);
+        int scenario = reliable ? 4 : random.nextInt(5);
         if (scenario == 0) {
             return new Outcome.NotRun("no backend server", Duration.ofSeconds(1));
         }
