--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -181,7 +181,10 @@
 
     void send() {
         request.onRequestBegin(r -> {
-            if (!progress.compareAndSet(Progress.UNSENT, Progress.SENT)) {
+            // A call that is withdrawn at this moment may still be sent: only the first of two aborts has an effect,
+            // and it
+            // may not be complete yet.
+            if (progress.getAndSet(Progress.SENT) == Progress.WITHDRAWN) {
                 r.abort(new CancelledException("request was withdrawn"));
             }
         });
