--- a/review/standins/FaultSoak.java
+++ b/review/standins/FaultSoak.java
@@ -98,38 +98,56 @@
                 Path.of(args[0]), (d, record, trouble) -> new FaultSoak(d, record, seed, seconds, trouble).play(seed));
     }
 
-    private int play(long seed) throws Exception {
-        int count = 3 + random.nextInt(2);
-        int faulty = 1 + random.nextInt(2);
-        boolean identified = random.nextInt(4) == 0 || "1".equals(System.getenv("WITH_IDS"));
-        double shedShare = random.nextDouble() * 0.3;
-        int slots = 2 + random.nextInt(3);
-        double spoiledShare = 0.02 + random.nextDouble() * 0.1;
-        int attempts = 1 + random.nextInt(3);
-        List<Integer> rejections = random.nextBoolean() ? List.of(503) : List.of(503, 429, 421);
-        int entryCount = 2 + random.nextInt(3);
-        boolean signals = random.nextInt(3) > 0;
-        for (int i = 0; i < count; i++) {
-            double spoils = trouble && i < faulty ? spoiledShare : 0;
-            var habits = new FaultyRunner.Habits(spoils, shedShare, identified, rejections);
-            FaultyRunner runner = new FaultyRunner(
-                    deployment.store, record, "i-book" + i, slots, QUEUE, WORK_MILLIS, habits, seed * 31 + i);
-            runner.register();
-            runners.add(runner);
+    /**
+     * What a seed determines.
+     *
+     * @param runners the number of runners
+     * @param faulty how many of them spoil answers
+     * @param slots the slots of each runner
+     * @param shedShare the part of the requests that runners reject though they have room
+     * @param spoiledShare the part of their answers that faulty runners spoil
+     * @param rejections the statuses of rejections
+     * @param identified whether rejections bear the id of the request
+     * @param attempts the attempts of both routes
+     * @param entries the number of entries
+     * @param signals whether entries are stopped, ended and killed
+     */
+    private record Setting(
+            int runners,
+            int faulty,
+            int slots,
+            double shedShare,
+            double spoiledShare,
+            List<Integer> rejections,
+            boolean identified,
+            int attempts,
+            int entries,
+            boolean signals) {
+        static Setting draw(Random random) {
+            int runners = 3 + random.nextInt(2);
+            int faulty = 1 + random.nextInt(2);
+            boolean identified = random.nextInt(4) == 0 || "1".equals(System.getenv("WITH_IDS"));
+            double shedShare = random.nextDouble() * 0.3;
+            int slots = 2 + random.nextInt(3);
+            double spoiledShare = 0.02 + random.nextDouble() * 0.1;
+            int attempts = 1 + random.nextInt(3);
+            List<Integer> rejections = random.nextBoolean() ? List.of(503) : List.of(503, 429, 421);
+            int entries = 2 + random.nextInt(3);
+            boolean signals = random.nextInt(3) > 0;
+            return new Setting(
+                    runners, faulty, slots, shedShare, spoiledShare, rejections, identified, attempts, entries, signals);
         }
-        String setting = "seed " + seed + ": runners " + count + ", faulty " + faulty + ", slots " + slots + ", sheds "
-                + shedShare + ", spoils " + spoiledShare + ", attempts " + attempts + ", rejections " + rejections + ", with ids "
-                + identified + ", entries " + entryCount + ", signals " + signals;
-        record.write(setting);
-        deployment.configure(
-                7,
-                route("book", "unsafe", attempts) + "," + route("read", "safe", attempts),
-                Deployment.service("booking-app"));
-        for (int i = 0; i < entryCount; i++) {
-            Deployment.Entry e = deployment.startEntry("entry-" + i);
-            serving.put(e.name(), e);
-            disturbances.put(e.name(), new Disturbances());
+
+        FaultyRunner.Habits habits(int runner, boolean trouble) {
+            double spoils = trouble && runner < faulty ? spoiledShare : 0;
+            return new FaultyRunner.Habits(spoils, shedShare, identified, rejections);
         }
+    }
+
+    private int play(long seed) throws Exception {
+        Setting setting = Setting.draw(random);
+        record.write("seed " + seed + ": " + setting);
+        start(setting, seed);
         Thread.sleep(STEADY_MILLIS);
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
@@ -141,18 +159,46 @@
         while (record.seconds() < until) {
             Thread.sleep(200 + random.nextInt(800));
             if (trouble) {
-                disturb(signals);
+                disturb(setting.signals());
             }
         }
         ending = true;
         for (Thread t : threads) {
             t.join();
         }
-        synchronized (this) {
-            // A replacement in progress ends first.
-        }
+        awaitReplacement();
         Thread.sleep(SETTLE_MILLIS);
-        return judge(setting);
+        return judge("seed " + seed + ": " + setting);
+    }
+
+    private void start(Setting setting, long seed) throws Exception {
+        for (int i = 0; i < setting.runners(); i++) {
+            FaultyRunner runner = new FaultyRunner(
+                    deployment.store,
+                    record,
+                    "i-book" + i,
+                    setting.slots(),
+                    QUEUE,
+                    WORK_MILLIS,
+                    setting.habits(i, trouble),
+                    seed * 31 + i);
+            runner.register();
+            runners.add(runner);
+        }
+        deployment.configure(
+                7,
+                route("book", "unsafe", setting.attempts()) + "," + route("read", "safe", setting.attempts()),
+                Deployment.service("booking-app"));
+        for (int i = 0; i < setting.entries(); i++) {
+            Deployment.Entry e = deployment.startEntry("entry-" + i);
+            serving.put(e.name(), e);
+            disturbances.put(e.name(), new Disturbances());
+        }
+    }
+
+    /** Waits until no entry is being replaced; its lock is held meanwhile. */
+    private synchronized void awaitReplacement() {
+        record.write("callers have ended");
     }
 
     private static String route(String name, String type, int attempts) {
@@ -306,6 +352,7 @@
         deployment.logLines(request).forEach(record::write);
     }
 
+    /** Compares what callers were told with what runners ran; returns the exit status. */
     private int judge(String setting) throws IOException {
         Map<Integer, Integer> byStatus = new TreeMap<>();
         int twice = 0;
