--- a/entry/src/test/java/org/baobabspindle/gateway/ConfigurationChangeTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/ConfigurationChangeTests.java
@@ -556,16 +556,27 @@
         long sentAt = System.nanoTime();
         send(connection, first, random);
         Optional<Sent> second = random.nextInt(5) == 0 ? Optional.of(newRequest(random)) : Optional.empty();
-        if (second.isPresent()) {
-            send(connection, second.get(), random);
-        }
+        boolean closedWhileSending = second.isPresent() && !trySend(connection, second.get(), random);
         boolean open = check(first, sentAt, connection);
-        if (!open || second.isEmpty()) {
-            return open;
+        if (closedWhileSending && open) {
+            violations.add("closed after a complete response to " + first + ", while " + second + " was sent");
+        }
+        if (closedWhileSending || !open || second.isEmpty()) {
+            return open && !closedWhileSending;
         }
         return check(second.get(), System.nanoTime(), connection);
     }
 
+    /** Sends the second of two requests; returns false if the connection was closed, as when the first response is cut off. */
+    private static boolean trySend(RawCaller connection, Sent r, Random random) throws InterruptedException {
+        try {
+            send(connection, r, random);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private Sent newRequest(Random random) {
         Target target = Target.values()[random.nextInt(Target.values().length)];
         int length = random.nextInt(3) == 0 ? LONG_BODY_BYTES : random.nextInt(40);
