--- a/entry/src/test/java/org/baobabspindle/gateway/UploadTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/UploadTests.java
@@ -221,6 +221,7 @@
                 assertRefused(second);
                 send(first, LARGE_BODY);
                 assertServed(first);
+                await(() -> budget.reservedBytes() == 0);
                 send(second, head("/unsafe/x", DECLARED) + LARGE_BODY);
                 assertServed(second);
             }
