--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -58,6 +58,7 @@
         private final AtomicInteger notReadyReceived = new AtomicInteger();
         private volatile boolean partitioned;
         private volatile boolean ready = true;
+        private volatile boolean failing;
 
         TestPeer(String id, AvailabilityZone zone) throws IOException {
             server = PeerServer.start("127.0.0.1", 0, new PeerSecret(SECRET), workers, this::respond, traffic);
@@ -70,6 +71,9 @@
             if (request instanceof PeerMessage.PulseAsk p && !p.pulse().ready()) {
                 notReadyReceived.incrementAndGet();
             }
+            if (failing) {
+                return new PeerMessage.Failed("the entry is unresponsive");
+            }
             return new PeerMessage.PulseAnswer(pulse(ready, partitioned));
         }
     }
@@ -111,6 +115,27 @@
         });
     }
 
+    /**
+     * Makes all peers unresponsive and returns the first time at which the mesh knows it.
+     *
+     * <p>A peer is asked again only after its last request has ended, so that no response is on its way once each peer
+     * has received two more requests.
+     */
+    private Moment makeUnresponsive() throws InterruptedException {
+        peers.forEach(p -> p.failing = true);
+        List<Integer> before = peers.stream().map(p -> p.statesReceived.get()).toList();
+        GatewayTestSupport.await(() -> {
+            mesh.exchangeState(pulse(true, partitioned.get()), clock, (from, pulse, requestedAt, now) -> {});
+            for (int i = 0; i < peers.size(); i++) {
+                if (peers.get(i).statesReceived.get() < before.get(i) + 2) {
+                    return false;
+                }
+            }
+            return true;
+        });
+        return clock.now().plus(FleetScaling.aliveTimeout(peers.size() + 1)).plus(Duration.ofMillis(1));
+    }
+
     private List<String> addresses(Optional<AvailabilityZone> zone) {
         return mesh.addresses(zone, true, clock.now());
     }
@@ -191,7 +216,7 @@
         partitioned.set(true);
         startPeer("a", ZONE);
         exchangeWithAll();
-        Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+        Moment later = makeUnresponsive();
         assertThat(mesh.addresses(Optional.empty(), true, later)).containsExactly(SELF.callerAddress());
     }
 
@@ -230,7 +255,7 @@
     void unresponsiveEntryCountsAsDispatching() throws Exception {
         startPeer("a", ZONE).partitioned = true;
         exchangeWithAll();
-        Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+        Moment later = makeUnresponsive();
         assertThat(mesh.dispatchingEntryCount(later)).isEqualTo(2);
     }
 
@@ -250,7 +275,7 @@
         startPeer("a", ZONE).partitioned = true;
         startPeer("b", ZONE);
         exchangeWithAll();
-        Moment later = clock.now().plus(FleetScaling.aliveTimeout(3)).plus(Duration.ofMillis(1));
+        Moment later = makeUnresponsive();
         assertThat(mesh.sharingEntries(later)).hasSize(3);
     }
 
@@ -308,7 +333,7 @@
         void leavesOutUnresponsiveEntries() throws Exception {
             startPeer("a", ZONE);
             exchangeWithAll();
-            Moment later = clock.now().plus(FleetScaling.aliveTimeout(2)).plus(Duration.ofMillis(1));
+            Moment later = makeUnresponsive();
             assertThat(mesh.relayPeer(Set.of(), id -> 0, later)).isEmpty();
         }
     }
