--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -75,6 +75,9 @@
         private boolean partitioned;
         private boolean requestPending;
         private long lastRequestRound;
+        /** The number of states that its own requests carried. */
+        private long statesSent;
+
         private Map<String, Double> demand = Map.of();
         private Map<String, String> staging = Map.of();
 
@@ -165,6 +168,7 @@
 
     private void exchangeState(Peer p, PeerMessage.Pulse localState, GatewayClock clock, StateListener listener) {
         Moment requestedAt = clock.now();
+        long statesBefore = statesSent(p);
         PeerProtocol protocol = assumedProtocol(p);
         PeerMessage.Pulse state = localState.readableBy(protocol);
         PeerMessage request = new PeerMessage.PulseAsk(self.entry(), state);
@@ -178,12 +182,16 @@
                 p.requestPending = false;
             }
             if (answer instanceof PeerMessage.PulseAnswer a) {
-                responseReceived(p, a.pulse(), now);
+                responseReceived(p, a.pulse(), statesBefore, now);
                 listener.stateReceived(p.entry, a.pulse(), requestedAt, now);
             }
         });
     }
 
+    private synchronized long statesSent(Peer p) {
+        return p.statesSent;
+    }
+
     private synchronized PeerProtocol assumedProtocol(Peer p) {
         return p.compatibility.assumed();
     }
@@ -218,18 +226,25 @@
         return result;
     }
 
-    private synchronized void responseReceived(Peer p, PeerMessage.Pulse pulse, Moment now) {
+    /**
+     * Records a response. Its state is not applied if the peer has sent its state after the request, as it may be older:
+     * a peer sends a change at once.
+     */
+    private synchronized void responseReceived(Peer p, PeerMessage.Pulse pulse, long statesBefore, Moment now) {
         if (p.lastResponseAt.isEmpty()) {
             log.write("peer", "first response from the entry", "entry", p.entry.entry());
         }
         p.lastResponseAt = Optional.of(now);
-        p.update(pulse);
+        if (p.statesSent == statesBefore) {
+            p.update(pulse);
+        }
     }
 
     /** Updates the state of a peer with the state that its request carried. */
     synchronized void stateReceived(Incarnation from, PeerMessage.Pulse pulse) {
         Peer p = peers.get(from.instance());
         if (p != null && p.entry.entry().equals(from)) {
+            p.statesSent++;
             p.update(pulse);
         }
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -59,6 +60,7 @@
         private volatile boolean partitioned;
         private volatile boolean ready = true;
         private volatile boolean failing;
+        private volatile CountDownLatch mayRespond = new CountDownLatch(0);
 
         TestPeer(String id, AvailabilityZone zone) throws IOException {
             server = PeerServer.start("127.0.0.1", 0, new PeerSecret(SECRET), workers, this::respond, traffic);
@@ -74,7 +76,13 @@
             if (failing) {
                 return new PeerMessage.Failed("the entry is unresponsive");
             }
-            return new PeerMessage.PulseAnswer(pulse(ready, partitioned));
+            PeerMessage.Pulse state = pulse(ready, partitioned);
+            try {
+                mayRespond.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return new PeerMessage.PulseAnswer(state);
         }
     }
 
@@ -187,6 +195,21 @@
         assertThat(addresses(Optional.empty())).doesNotContain(a.announcement.callerAddress());
     }
 
+    @Test
+    void stateThatPeerSendsIsNotReplacedByAnEarlierResponse() throws Exception {
+        TestPeer a = startPeer("a", ZONE);
+        exchangeWithAll();
+        a.mayRespond = new CountDownLatch(1);
+        CountDownLatch received = new CountDownLatch(1);
+        mesh.exchangeStateWith(
+                Set.of(InstanceId.of("a")), pulse(false, false), clock, (from, pulse, at, now) -> received.countDown());
+        GatewayTestSupport.await(() -> a.notReadyReceived.get() == 1);
+        mesh.stateReceived(a.announcement.entry(), pulse(true, true));
+        a.mayRespond.countDown();
+        received.await();
+        assertThat(addresses(Optional.empty())).doesNotContain(a.announcement.callerAddress());
+    }
+
     @Test
     void callersOfZoneWhoseEntriesArePartitionedGetEntriesOfOtherZones() throws Exception {
         partitioned.set(true);
