--- a/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RelayTests.java
@@ -217,7 +217,6 @@
             assertThat(requestCount()).isEqualTo(2);
         }
 
-        /** The server has as many slots as there are streams, and the other entry knows them to be taken. */
         /** The entry that took the request over keeps waiting for a server that it no longer reaches. */
         @Test
         void requestRelayedToAnEntryThatIsPartitionedNextMovesOn() throws Exception {
@@ -237,6 +236,7 @@
             assertThat(status.get(10, TimeUnit.SECONDS)).isEqualTo(200);
         }
 
+        /** The server has as many slots as there are streams, and the other entry knows them to be taken. */
         @Test
         void streamsThatMoveTogetherGetTheSlotsThatTheyLeave() throws Exception {
             startBoth((request, out, socket) -> {
