Tests and demo: ports that are chosen before their use are not ephemeral ones

They were in the range from which outgoing connections get theirs, so that a test beside other processes could find its port taken. FakePlatform uses FreePorts, which chooses ports below that range; two choosers at the same moment may still meet, with 16,384 ports to choose from.

No failure of a test was seen from this.

--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -49,6 +47,7 @@
 import org.baobabspindle.port.PlatformStore;
 import org.baobabspindle.port.ResponseHeadListener;
 import org.baobabspindle.port.StoreException;
+import org.baobabspindle.standins.FreePorts;
 import org.eclipse.jetty.client.HttpClient;
 
 /** An in-memory platform: one configuration, a list of backend servers, and a store that can be made to fail. */
@@ -76,7 +75,7 @@
     private volatile FleetConfiguration configuration;
     private final List<FleetConfiguration> published = new CopyOnWriteArrayList<>();
     private final List<BackendServer> servers;
-    private final List<Integer> ports = new ArrayList<>();
+    private final List<Integer> ports;
     private final Set<Feed> failingFeeds = ConcurrentHashMap.newKeySet();
     private final Set<InstanceId> unresponsive = ConcurrentHashMap.newKeySet();
     private final Set<InstanceId> ended = ConcurrentHashMap.newKeySet();
@@ -154,15 +153,7 @@
         this.entries = entries;
         this.configuration = configuration;
         this.servers = new CopyOnWriteArrayList<>(servers);
-        List<ServerSocket> sockets = new ArrayList<>();
-        for (int i = 0; i < 5; i++) {
-            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(s);
-            ports.add(s.getLocalPort());
-        }
-        for (ServerSocket s : sockets) {
-            s.close();
-        }
+        ports = FreePorts.findFree(5);
     }
 
     /** Returns the clients that the gateway uses for orders and probes. */
--- a/standins/src/main/java/org/baobabspindle/standins/FreePorts.java
+++ b/standins/src/main/java/org/baobabspindle/standins/FreePorts.java
@@ -1,13 +1,21 @@
 package org.baobabspindle.standins;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
-/** Prints free TCP ports of the loopback address, one per line. */
+/**
+ * Prints free TCP ports of the loopback address, one per line. They are below the usual range of ephemeral ports, so that
+ * no outgoing connection takes one before its use.
+ */
 public final class FreePorts {
+    private static final int FIRST_PORT = 16_384;
+    private static final int PORT_LIMIT = 32_768;
+
     private FreePorts() {}
 
     /**
@@ -32,10 +40,14 @@
     public static List<Integer> findFree(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
+        while (ports.size() < count) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, PORT_LIMIT);
+            try {
+                sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+                ports.add(port);
+            } catch (BindException e) {
+                // Another process listens on this port; the next one is tried.
+            }
         }
         for (ServerSocket socket : sockets) {
             socket.close();
