--- a/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
+++ b/core/src/test/java/org/baobabspindle/core/dispatch/BackendReachabilityTests.java
@@ -220,6 +220,21 @@
             assertPartitioned();
         }
 
+        /** A server that has not failed must have had the time to answer a probe. */
+        @Test
+        void afterASilenceOfSlowRequestsAreNoneBeforeOthersWereProbed() {
+            reachability.requestSent(A);
+            reachability.requestSent(B);
+            reachability.requestSent(C);
+            ticks(3);
+            fail(A, B, C);
+            tick();
+            assertReachable();
+            assertThat(reachability.serversToProbe(now)).contains(D);
+            ticks(2);
+            assertPartitioned();
+        }
+
         @Test
         void ofOneServerAreNone() {
             for (int i = 0; i < 10; i++) {
