--- a/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/BackendCall.java
@@ -181,9 +181,8 @@
 
     void send() {
         request.onRequestBegin(r -> {
-            // A call that is withdrawn at this moment may still be sent: only the first of two aborts has an effect,
-            // and it
-            // may not be complete yet.
+            // A call that is withdrawn at this moment may still be sent: this abort has no effect if the other one
+            // has begun.
             if (progress.getAndSet(Progress.SENT) == Progress.WITHDRAWN) {
                 r.abort(new CancelledException("request was withdrawn"));
             }
--- a/standins/src/main/java/org/baobabspindle/standins/FreePorts.java
+++ b/standins/src/main/java/org/baobabspindle/standins/FreePorts.java
@@ -46,7 +46,7 @@
                 sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
                 ports.add(port);
             } catch (BindException e) {
-                // Another process listens on this port; the next one is tried.
+                // Another process listens on this port; another one is tried.
             }
         }
         for (ServerSocket socket : sockets) {
