--- a/entry/src/test/java/org/baobabspindle/gateway/EndlessBytesTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/EndlessBytesTests.java
@@ -225,14 +225,17 @@
     @Nested
     class LongResponses extends GatewayTestSupport {
         private static final int CHUNKS = 10_000;
+        private static final Duration LONG_ROUTE_TIMEOUT = Duration.ofSeconds(10);
         private static final String CHUNKED =
                 "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
         @Test
         void longResponseOfSmallChunksIsForwardedWhole() throws Exception {
             String part = "content of a chunk";
-            start((request, out, socket) ->
-                    RawBackend.write(out, CHUNKED + chunk(part).repeat(CHUNKS) + "0\r\n\r\n"));
+            start(
+                    configuration(LONG_ROUTE_TIMEOUT),
+                    (request, out, socket) ->
+                            RawBackend.write(out, CHUNKED + chunk(part).repeat(CHUNKS) + "0\r\n\r\n"));
             HttpResponse<String> answer = post("/unsafe/x");
             assertThat(answer.statusCode()).isEqualTo(200);
             assertThat(answer.body().length()).isEqualTo(part.length() * CHUNKS);
@@ -240,7 +243,7 @@
 
         @Test
         void longStreamOfShortEventsIsForwardedWhole() throws Exception {
-            start((request, out, socket) -> {
+            start(configuration(LONG_ROUTE_TIMEOUT), (request, out, socket) -> {
                 StringBuilder text = new StringBuilder(String.format(EVENTS_HEAD, "r1"));
                 for (int i = 0; i < CHUNKS; i++) {
                     text.append(chunk(event(i)));
