--- a/entry/src/main/java/org/baobabspindle/gateway/FeedPoller.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FeedPoller.java
@@ -19,12 +19,19 @@
  * continues at the position where the last one ended. In a new era of the store, whose offsets are given out again, it
  * starts anew, as it does after a page that could not be processed, whose records would be lost otherwise. The first
  * read after a failure does not wait for records, so that the recovery of the store is noticed at
- * once.
+ * once. If the store does not return the latest records of all keys, those that it returns are used, further ones as they are
+ * written again, and all keys are read again from time to time.
  */
 final class FeedPoller {
     /** The delay after a failed read; during an outage of the store each feed is retried a few times a second. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
+    /**
+     * How long after a partial read of the latest records all keys are read again. What hides the others stays until its writer
+     * removes it, and the records of running servers are written again within seconds.
+     */
+    private static final Duration PARTIAL_READ_DELAY = Duration.ofSeconds(10);
+
     private final PlatformStore store;
     private final Feed feed;
     private final Supplier<PollIntervals> intervals;
@@ -36,6 +43,9 @@
     private OptionalLong era = OptionalLong.empty();
     private boolean failing;
 
+    /** When all keys are read again, after a partial read. */
+    private Optional<Moment> completionDue = Optional.empty();
+
     /**
      * The timing of the reads of a feed.
      *
@@ -46,7 +56,7 @@
 
     /** Receives what was read. */
     interface Sink {
-        /** Receives a page; {@code snapshot} tells whether it contains all existing keys. */
+        /** Receives a page; {@code snapshot} tells whether it contains all existing keys, else it contains changes. */
         void pageRead(FeedPage page, boolean snapshot, Moment requestedAt);
 
         /** Called when a read succeeds after reads have failed, before its page is received. */
@@ -72,7 +82,8 @@
 
     void start() {
         Moment requestedAt = clock.now();
-        boolean snapshot = nextPosition.isEmpty();
+        boolean snapshot = nextPosition.isEmpty()
+                || completionDue.filter(at -> !requestedAt.isBefore(at)).isPresent();
         try {
             request(snapshot).whenComplete((page, failure) -> received(page, failure, snapshot, requestedAt));
         } catch (RuntimeException | Error e) {
@@ -116,12 +127,19 @@
             log.write("store", "reads succeed again", "feed", feed);
             sink.storeRecovered();
         }
+        if (snapshot && page.partial()) {
+            partialPageReceived(page, requestedAt);
+            return Duration.ZERO;
+        }
         boolean restored =
                 !snapshot && page.next().era() != nextPosition.orElseThrow().era();
         if (page.expired() || restored) {
             nextPosition = Optional.empty();
             return Duration.ZERO;
         }
+        if (snapshot) {
+            completionDue = Optional.empty();
+        }
         nextPosition = Optional.of(page.next());
         logEra(page.next());
         sink.pageRead(page, snapshot, requestedAt);
@@ -130,6 +148,24 @@
         return elapsed.compareTo(delay) < 0 ? delay.minus(elapsed) : Duration.ZERO;
     }
 
+    /** Uses the records as changes, unless more is known already from the position of the last read. */
+    private void partialPageReceived(FeedPage page, Moment requestedAt) {
+        completionDue = Optional.of(clock.now().plus(PARTIAL_READ_DELAY));
+        if (nextPosition.isPresent()) {
+            return;
+        }
+        log.write(
+                "feed",
+                "the store did not return all keys",
+                "feed",
+                feed,
+                "records",
+                page.records().size());
+        nextPosition = Optional.of(page.next());
+        logEra(page.next());
+        sink.pageRead(page, false, requestedAt);
+    }
+
     private void logEra(FeedPosition next) {
         if (era.isPresent() && era.getAsLong() != next.era()) {
             log.write(
--- a/entry/src/main/java/org/baobabspindle/gateway/RelayedStore.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RelayedStore.java
@@ -208,7 +208,9 @@
         calls.accept(StorePurpose.SNAPSHOT, Optional.of(feed));
         return store.readLatest(feed).thenApply(page -> {
             synchronized (this) {
-                proven(relays.get(feed), Optional.of(requestedAt));
+                if (!page.partial()) {
+                    proven(relays.get(feed), Optional.of(requestedAt));
+                }
                 toRelay(feed, page);
             }
             return page;
--- a/entry/src/main/java/org/baobabspindle/port/PlatformStore.java
+++ b/entry/src/main/java/org/baobabspindle/port/PlatformStore.java
@@ -10,7 +10,7 @@
  */
 public interface PlatformStore {
     /**
-     * Reads the latest record of each key.
+     * Reads the latest record of each key. The page is partial if the store does not return all of them.
      *
      * @param feed the feed
      * @return the records and where to read on
--- a/entry/src/test/java/org/baobabspindle/gateway/FeedPollerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FeedPollerTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.Feed;
@@ -70,7 +71,7 @@
         }
     }
 
-    private static final class IgnoringSink implements FeedPoller.Sink {
+    private static class IgnoringSink implements FeedPoller.Sink {
         @Override
         public void pageRead(FeedPage page, boolean snapshot, Moment requestedAt) {}
 
@@ -163,4 +164,47 @@
                 .containsExactly(true, false, true, false)
                 .inOrder();
     }
+
+    /** A list that is known to lack servers must not end the servers that it lacks; they are read again later. */
+    @Test
+    void partialPageIsUsedAsChangesUntilAllKeysAreRead() throws Exception {
+        AtomicInteger snapshots = new AtomicInteger();
+        FakeStore partial = new FakeStore() {
+            @Override
+            public CompletableFuture<FeedPage> readLatest(Feed feed) {
+                FeedPosition next = new FeedPosition(1, 3);
+                return CompletableFuture.completedFuture(
+                        snapshots.incrementAndGet() < 3
+                                ? FeedPage.ofPartial(List.of(), next)
+                                : new FeedPage(List.of(), next, false));
+            }
+        };
+        AtomicLong ahead = new AtomicLong();
+        GatewayClock clock = new GatewayClock() {
+            @Override
+            Moment now() {
+                return super.now().plus(Duration.ofMillis(ahead.get()));
+            }
+        };
+        List<Boolean> pages = new CopyOnWriteArrayList<>();
+        FeedPoller.Sink sink = new IgnoringSink() {
+            @Override
+            public void pageRead(FeedPage page, boolean snapshot, Moment requestedAt) {
+                pages.add(snapshot);
+            }
+        };
+        FeedPoller.PollIntervals intervals = new FeedPoller.PollIntervals(LONG_POLL, Duration.ofMillis(10));
+        new FeedPoller(partial, Feed.BACKEND_SERVERS, () -> intervals, sink, clock, timer, new EventLog()).start();
+        GatewayTestSupport.await(() -> waits.size() >= 6);
+        assertThat(snapshots.get()).isEqualTo(1);
+        assertThat(pages).doesNotContain(true);
+        ahead.addAndGet(11_000);
+        GatewayTestSupport.await(() -> snapshots.get() == 2);
+        ahead.addAndGet(11_000);
+        GatewayTestSupport.await(() -> pages.contains(true));
+        int pagesBefore = pages.size();
+        ahead.addAndGet(11_000);
+        GatewayTestSupport.await(() -> pages.size() > pagesBefore + 2);
+        assertThat(snapshots.get()).isEqualTo(3);
+    }
 }
