--- a/entry/src/main/java/org/baobabspindle/gateway/EntryAnnouncement.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryAnnouncement.java
@@ -13,6 +13,7 @@
 import org.baobabspindle.core.id.Checks;
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.InstanceId;
+import org.baobabspindle.logging.OncePerKeyLog;
 import org.baobabspindle.peer.PeerAddress;
 import org.baobabspindle.peer.PeerProtocol;
 import org.baobabspindle.port.FeedPage;
@@ -41,6 +42,7 @@
         int protocol,
         @JsonInclude(JsonInclude.Include.NON_NULL) Double capacity) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final OncePerKeyLog MALFORMED = new OncePerKeyLog(EntryAnnouncement.class);
 
     EntryAnnouncement {
         Checks.require(entry != null && zone != null, "entry and zone must not be null");
@@ -77,14 +79,13 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(MAPPER.readValue(record.value().get(), EntryAnnouncement.class));
-        } catch (IOException | IllegalArgumentException e) {
-            System.getLogger(EntryAnnouncement.class.getName())
-                    .log(
-                            System.Logger.Level.WARNING,
-                            "ignoring malformed announcement of entry {0}: {1}",
-                            record.key(),
-                            e);
+            EntryAnnouncement parsed = MAPPER.readValue(record.value().get(), EntryAnnouncement.class);
+            Checks.require(parsed != null, "the announcement must not be null");
+            return Optional.of(parsed);
+        } catch (IOException | RuntimeException e) {
+            MALFORMED.warn(
+                    record.key(),
+                    "ignoring malformed announcement of entry \"" + record.key() + "\": " + e.getMessage());
             return Optional.empty();
         }
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -26,11 +27,15 @@
 import org.baobabspindle.peer.PeerSecret;
 import org.baobabspindle.peer.PeerServer;
 import org.baobabspindle.peer.PeerTraffic;
+import org.baobabspindle.port.FeedPage;
+import org.baobabspindle.port.FeedPosition;
 import org.baobabspindle.port.FeedRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(30)
 class PeerMeshTests {
@@ -148,6 +153,25 @@
         return mesh.addresses(zone, true, clock.now());
     }
 
+    /** One announcement that cannot be used must not keep the others from being read, or their entries from being asked. */
+    @Nested
+    class UnusableAnnouncements {
+        private FeedRecord record(String key, String content) {
+            return new FeedRecord(key, Optional.of(content.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"null", "{}", "7", "[", "{\"entry\":null}", "{\"entry\":{\"instance\":7}}"})
+        void areLeftOut(String content) throws Exception {
+            TestPeer sound = startPeer("sound", ZONE);
+            FeedRecord announcement = new FeedRecord("sound", Optional.of(sound.announcement.toJson()));
+            FeedPage page = new FeedPage(List.of(record("odd", content), announcement), new FeedPosition(1, 2), false);
+            mesh.announcementsRead(page.records());
+            assertThat(SELF.changes(page, true).announced()).containsExactly(InstanceId.of("sound"));
+            exchangeWithAll();
+        }
+    }
+
     @Test
     void changeIsExchangedWithAllPeersAtOnce() throws Exception {
         for (int i = 0; i <= FleetScaling.PEERS_PER_ROUND; i++) {
