--- a/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/baobabspindle/core/fleet/BackendServer.java
@@ -39,7 +39,7 @@
     public BackendServer {
         Checks.identifier("service", service);
         Checks.identifier("host", host);
-        Checks.require(port > 0 && port < 65_536, "port must be between 1 and 65535 but was " + port);
+        Checks.port("port", port);
     }
 
     /**
--- a/core/src/main/java/org/baobabspindle/core/id/Checks.java
+++ b/core/src/main/java/org/baobabspindle/core/id/Checks.java
@@ -49,6 +49,19 @@
         return value;
     }
 
+    /**
+     * Checks that a TCP port is valid and returns it.
+     *
+     * @param name the name of the value, for the exception message
+     * @param value the port
+     * @return the port
+     * @throws IllegalArgumentException if the port is not between 1 and 65535
+     */
+    public static int port(String name, int value) {
+        require(value > 0 && value < 65_536, name + " must be between 1 and 65535 but was " + value);
+        return value;
+    }
+
     /**
      * Checks a condition on an argument.
      *
--- a/entry/src/main/java/org/baobabspindle/gateway/EntryAnnouncement.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryAnnouncement.java
@@ -48,6 +48,8 @@
         Checks.require(entry != null && zone != null, "entry and zone must not be null");
         Checks.identifier("host", host);
         Checks.identifier("secret", secret);
+        Checks.port("callerPort", callerPort);
+        Checks.port("peerPort", peerPort);
     }
 
     /** Creates the announcement of an entry whose capacity is not known. */
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -160,6 +160,14 @@
             return new FeedRecord(key, Optional.of(content.getBytes(StandardCharsets.UTF_8)));
         }
 
+        private FeedRecord record(String key, String host, int callerPort, int peerPort) {
+            return record(
+                    key,
+                    String.format(
+                            "{\"entry\":\"%s~1\",\"host\":\"%s\",\"callerPort\":%d,\"peerPort\":%d,\"zone\":\"z1\",\"secret\":\"x\"}",
+                            key, host, callerPort, peerPort));
+        }
+
         @ParameterizedTest
         @ValueSource(strings = {"null", "{}", "7", "[", "{\"entry\":null}", "{\"entry\":{\"instance\":7}}"})
         void areLeftOut(String content) throws Exception {
@@ -170,6 +178,20 @@
             assertThat(SELF.changes(page, true).announced()).containsExactly(InstanceId.of("sound"));
             exchangeWithAll();
         }
+
+        @Test
+        void doNotKeepOtherEntriesFromBeingAsked() throws Exception {
+            mesh.announcementsRead(List.of(
+                    record("a", "127.0.0.1", 8_000, 70_000),
+                    record("b", "127.0.0.1", 8_000, -1),
+                    record("c", "127.0.0.1", 0, 9_000),
+                    record("d", "no such host", 8_000, 9_000),
+                    record("e", "&", 8_000, 9_000)));
+            startPeer("sound", ZONE);
+            exchangeWithAll();
+            mesh.exchangeStateWithAll(pulse(true, true), clock, (from, pulse, requestedAt, now) -> {});
+            assertThat(addresses(Optional.empty())).containsExactly(SELF.callerAddress(), "127.0.0.1:8001");
+        }
     }
 
     @Test
