--- a/entry/src/main/java/org/baobabspindle/gateway/FeedPoller.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FeedPoller.java
@@ -1,6 +1,8 @@
 package org.baobabspindle.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -9,15 +11,18 @@
 import java.util.function.Supplier;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
+import org.baobabspindle.logging.OncePerKeyLog;
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
+import org.baobabspindle.port.FeedRecord;
 import org.baobabspindle.port.PlatformStore;
 
 /**
  * Polls a feed of the store with long polls. The first read fetches the latest record of each key; each further read
  * continues at the position where the last one ended. In a new era of the store, whose offsets are given out again, it
- * starts anew, as it does after a page that could not be processed, whose records would be lost otherwise. The first
+ * starts anew, as it does after a page that could not be processed, whose records would be lost otherwise, unless that is
+ * because of single records, which are left out. The first
  * read after a failure does not wait for records, so that the recovery of the store is noticed at
  * once. If the store does not return the latest records of all keys, those that it returns are used, further ones as they are
  * written again, and all keys are read again from time to time.
@@ -39,6 +44,7 @@
     private final GatewayClock clock;
     private final ScheduledExecutorService timer;
     private final EventLog log;
+    private final OncePerKeyLog unusableRecords = new OncePerKeyLog(FeedPoller.class);
     private Optional<FeedPosition> nextPosition = Optional.empty();
     private OptionalLong era = OptionalLong.empty();
     private boolean failing;
@@ -142,7 +148,7 @@
         }
         nextPosition = Optional.of(page.next());
         logEra(page.next());
-        sink.pageRead(page, snapshot, requestedAt);
+        process(page, snapshot, requestedAt);
         Duration elapsed = Duration.ofNanos(clock.now().monotonicNanos() - requestedAt.monotonicNanos());
         Duration delay = intervals.get().minInterval();
         return elapsed.compareTo(delay) < 0 ? delay.minus(elapsed) : Duration.ZERO;
@@ -163,7 +169,39 @@
                 page.records().size());
         nextPosition = Optional.of(page.next());
         logEra(page.next());
-        sink.pageRead(page, false, requestedAt);
+        process(page, false, requestedAt);
+    }
+
+    /**
+     * Passes a page on. If it cannot be processed because of some of its records, these are left out: a page that fails is read
+     * again, which would not end.
+     */
+    private void process(FeedPage page, boolean snapshot, Moment requestedAt) {
+        try {
+            sink.pageRead(page, snapshot, requestedAt);
+        } catch (RuntimeException e) {
+            List<FeedRecord> usable = processOneByOne(page, requestedAt);
+            if (usable.size() == page.records().size()) {
+                throw e;
+            }
+            if (snapshot) {
+                sink.pageRead(new FeedPage(usable, page.next(), false), true, requestedAt);
+            }
+        }
+    }
+
+    /** Passes on each record of a page as a change, and returns those that could be processed. */
+    private List<FeedRecord> processOneByOne(FeedPage page, Moment requestedAt) {
+        List<FeedRecord> usable = new ArrayList<>();
+        for (FeedRecord r : page.records()) {
+            try {
+                sink.pageRead(new FeedPage(List.of(r), page.next(), false), false, requestedAt);
+                usable.add(r);
+            } catch (RuntimeException e) {
+                unusableRecords.warn(r.key(), "leaving out the record \"" + r.key() + "\" of " + feed + ": " + e);
+            }
+        }
+        return usable;
     }
 
     private void logEra(FeedPosition next) {
--- a/entry/src/test/java/org/baobabspindle/gateway/FeedPollerTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FeedPollerTests.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
@@ -15,6 +16,7 @@
 import org.baobabspindle.port.Feed;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
+import org.baobabspindle.port.FeedRecord;
 import org.baobabspindle.port.LeaseGrant;
 import org.baobabspindle.port.PlatformStore;
 import org.baobabspindle.port.StoreException;
@@ -207,4 +209,40 @@
         GatewayTestSupport.await(() -> pages.size() > pagesBefore + 2);
         assertThat(snapshots.get()).isEqualTo(3);
     }
+
+    /** Its page would be read again for ever, and no record behind it ever applied. */
+    @Test
+    void recordThatCannotBeAppliedDoesNotHideTheOthers() throws Exception {
+        List<FeedRecord> records = List.of(record("a"), record("invalid"), record("b"));
+        AtomicInteger snapshots = new AtomicInteger();
+        FakeStore filled = new FakeStore() {
+            @Override
+            public CompletableFuture<FeedPage> readLatest(Feed feed) {
+                snapshots.incrementAndGet();
+                return CompletableFuture.completedFuture(new FeedPage(records, new FeedPosition(1, 3), false));
+            }
+        };
+        List<String> applied = new CopyOnWriteArrayList<>();
+        FeedPoller.Sink sink = new IgnoringSink() {
+            @Override
+            public void pageRead(FeedPage page, boolean snapshot, Moment requestedAt) {
+                for (FeedRecord r : page.records()) {
+                    if (r.key().equals("invalid")) {
+                        throw new IllegalStateException("a record is invalid");
+                    }
+                }
+                page.records().forEach(r -> applied.add((snapshot ? "all " : "one ") + r.key()));
+            }
+        };
+        FeedPoller.PollIntervals intervals = new FeedPoller.PollIntervals(LONG_POLL, Duration.ofMillis(10));
+        new FeedPoller(filled, Feed.BACKEND_SERVERS, () -> intervals, sink, new GatewayClock(), timer, new EventLog())
+                .start();
+        GatewayTestSupport.await(() -> waits.size() >= 4);
+        assertThat(applied).containsExactly("one a", "one b", "all a", "all b").inOrder();
+        assertThat(snapshots.get()).isEqualTo(1);
+    }
+
+    private static FeedRecord record(String key) {
+        return new FeedRecord(key, Optional.of(new byte[] {1}));
+    }
 }
