--- a/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallAnswer.java
@@ -15,6 +15,9 @@
     /** The statuses by which a caller is told that its request has not run and never will. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
+    /** The status of an instance that is not the one for which a request is meant. */
+    private static final int OTHER_INSTANCE = 421;
+
     private final EventSplitter splitter = new EventSplitter();
     private BackendCall.Head head = BackendCall.Head.NONE;
     private Optional<Moment> lastEventAt = Optional.empty();
@@ -45,7 +48,7 @@
 
     /** Returns whether the server states that it did not run the request. */
     boolean notRun(ForwardingHeaders names) {
-        return isProven() && (headers().contains(names.notRun()) || status() == 421);
+        return isProven() && (headers().contains(names.notRun()) || status() == OTHER_INSTANCE);
     }
 
     /**
@@ -77,6 +80,9 @@
         if (complete && status() == 503 && headers().contains("Retry-After")) {
             return Dispatcher.CallResult.NEUTRAL;
         }
+        if (complete && isProven() && status() == OTHER_INSTANCE) {
+            return Dispatcher.CallResult.OTHER_INSTANCE;
+        }
         return complete && status() < 500 ? Dispatcher.CallResult.SUCCEEDED : Dispatcher.CallResult.FAILED;
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -405,6 +405,8 @@
         SUCCEEDED,
         /** The target failed the request. */
         FAILED,
+        /** Another instance answered at the address of the target. */
+        OTHER_INSTANCE,
         /** The result does not depend on the health of the target. */
         NEUTRAL
     }
@@ -416,17 +418,24 @@
             if (streaming) {
                 stalls.requestEnded(target.key(), started);
             }
-            if (result == CallResult.SUCCEEDED) {
-                health.recordSuccess(target.key());
-            } else if (result == CallResult.FAILED && !partitioned.getAsBoolean()) {
-                if (health.recordFailure(target.key(), now)) {
-                    rateLimits.cold().excluded(target.server().lifetime(), health.usableAt(target.key(), now), now);
-                }
-            }
+            recordHealth(target, result, now);
         }
         drain(now);
     }
 
+    /** An engine also answers as another instance while it is not the head of its group, which its record shows soon. */
+    private void recordHealth(Target target, CallResult result, Moment now) {
+        if (result == CallResult.SUCCEEDED) {
+            health.recordSuccess(target.key());
+        } else if (result == CallResult.FAILED && !partitioned.getAsBoolean()) {
+            if (health.recordFailure(target.key(), now)) {
+                rateLimits.cold().excluded(target.server().lifetime(), health.usableAt(target.key(), now), now);
+            }
+        } else if (result == CallResult.OTHER_INSTANCE && target.group().isEmpty()) {
+            health.recordOtherInstance(target.key(), now);
+        }
+    }
+
     /** Sends a server no requests for the time that it asked for. */
     synchronized void backOff(BackendServer.Lifetime server, Duration time, Moment now) {
         backoff.backOff(server, time, now);
