--- a/core/src/main/java/org/baobabspindle/core/id/Checks.java
+++ b/core/src/main/java/org/baobabspindle/core/id/Checks.java
@@ -16,10 +16,21 @@
      * @throws IllegalArgumentException if the identifier is null, blank, too long or contains a control character
      */
     public static String identifier(String name, String value) {
+        return identifier(name, value, MAX_IDENTIFIER_LENGTH);
+    }
+
+    /**
+     * Checks that an identifier that may have another length than usual ones is well-formed and returns it.
+     *
+     * @param name the name of the value, for the exception message
+     * @param value the identifier
+     * @param maxLength its maximum length, in UTF-16 code units
+     * @return the identifier
+     * @throws IllegalArgumentException if the identifier is null, blank, too long or contains a control character
+     */
+    public static String identifier(String name, String value, int maxLength) {
         require(value != null && !value.isBlank(), name + " must not be blank");
-        require(
-                value.length() <= MAX_IDENTIFIER_LENGTH,
-                name + " exceeds the maximum length of " + MAX_IDENTIFIER_LENGTH);
+        require(value.length() <= maxLength, name + " exceeds the maximum length of " + maxLength);
         require(value.chars().noneMatch(Character::isISOControl), name + " contains a control character");
         return value;
     }
