--- a/core/src/main/java/org/baobabspindle/core/formation/GroupView.java
+++ b/core/src/main/java/org/baobabspindle/core/formation/GroupView.java
@@ -34,12 +34,20 @@
                 GroupMembership m = s.group().get();
                 groups.computeIfAbsent(m.key(), k -> new GroupView(k, s.service(), new TreeMap<>()))
                         .members()
-                        .put(m.rank(), s);
+                        .merge(m.rank(), s, (known, other) -> isNamedHead(m, known) ? known : other);
             }
         }
         return new ArrayList<>(groups.values());
     }
 
+    /**
+     * Returns whether a group bears the name of a server. Of two records of one rank, this one is not the copy that another
+     * writer made of it under another name.
+     */
+    private static boolean isNamedHead(GroupMembership m, BackendServer s) {
+        return GroupName.head(m.key(), s).filter(h -> h.id().equals(s.id())).isPresent();
+    }
+
     /**
      * Returns the head, which is the member of rank 0.
      *
