--- a/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GroupKeeper.java
@@ -350,6 +350,10 @@
         boolean completedAtOnce = action instanceof FormationAction.Leave
                 && action.server().group().isPresent();
         sequences.orderAnswered(action.server().lifetime(), answer, completedAtOnce);
+        if (answer == OrderAnswer.OTHER_INSTANCE
+                && (order instanceof EngineOrder.Join || order instanceof EngineOrder.Stage)) {
+            markLost(action.server(), Liveness.ENDED, "another instance answers at the address of the engine");
+        }
         boolean unresponsive = answer == OrderAnswer.UNKNOWN || answer == OrderAnswer.UNREACHABLE;
         boolean listed = servers.stream()
                 .anyMatch(s -> s.lifetime().equals(action.server().lifetime()));
@@ -458,7 +462,7 @@
             suspicionReports.renew(server.lifetime(), clock.now());
             log.write("suspect", "the engine is silent and will be probed again", "server", server.id());
         } else {
-            markLost(server, liveness);
+            markLost(server, liveness, "the engine responds neither to requests nor to probes");
         }
     }
 
@@ -551,7 +555,7 @@
         return lostUntil.containsKey(server.lifetime());
     }
 
-    private synchronized void markLost(BackendServer server, Liveness liveness) {
+    private synchronized void markLost(BackendServer server, Liveness liveness, String reason) {
         Moment now = clock.now();
         lostUntil.put(server.lifetime(), now.plus(LOST_DURATION));
         if (liveness == Liveness.ENDED) {
@@ -559,12 +563,6 @@
         } else {
             lostProbedAt.put(server.lifetime(), now);
         }
-        log.write(
-                "lost",
-                "the engine responds neither to requests nor to probes",
-                "server",
-                server.id(),
-                "liveness",
-                liveness);
+        log.write("lost", reason, "server", server.id(), "liveness", liveness);
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/GroupKeeperTests.java
@@ -162,6 +162,24 @@
         assertThat(platform.ordersTo(HEAD)).containsNoDuplicates();
     }
 
+    /** Such as a copy of a record under another name; others would be ordered to join groups with it again and again. */
+    @Test
+    void engineAtWhoseAddressAnotherInstanceAnswersIsNotUsed() {
+        platform.answerOrders(CompletableFuture.completedFuture(OrderAnswer.OTHER_INSTANCE));
+        engines = List.of(idle("a&b"), idle("c d"));
+        tick(Duration.ZERO);
+        for (int i = 0; i < 6; i++) {
+            tick(SETTLED);
+        }
+        for (BackendServer e : engines) {
+            assertThat(platform.ordersTo(e.id())).hasSize(1);
+        }
+    }
+
+    private static BackendServer idle(String id) {
+        return TestEngines.engine(id, Optional.of(SMALL.name()), Optional.empty(), Optional.empty());
+    }
+
     @Test
     void newKeeperDoesNotRestageWhatFormerKeeperHasStaged() {
         engines = List.of(member("e0", 0, MemberState.OPEN), member("e1", 1, MemberState.READY));
