--- a/entry/src/main/java/org/baobabspindle/platform/InstanceListClient.java
+++ b/entry/src/main/java/org/baobabspindle/platform/InstanceListClient.java
@@ -15,6 +15,7 @@
 import org.baobabspindle.core.id.Incarnation;
 import org.baobabspindle.core.id.Region;
 import org.baobabspindle.http.Json;
+import org.baobabspindle.logging.OncePerKeyLog;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpHeader;
@@ -26,6 +27,7 @@
 
     private final HttpClient http;
     private final String url;
+    private final OncePerKeyLog malformedInstances = new OncePerKeyLog(InstanceListClient.class);
     private String etag = "";
 
     /**
@@ -67,22 +69,24 @@
         return Optional.of(list);
     }
 
-    private static InstanceList parse(JsonNode body) throws IOException {
+    /** Parses the list without the instances that cannot be parsed. */
+    private InstanceList parse(JsonNode body) throws IOException {
         if (!body.path("instances").isArray()) {
             throw new IOException("malformed instance list: it has no instances");
         }
         List<PlatformInstance> engines = new ArrayList<>();
         List<ServiceInstance> services = new ArrayList<>();
-        try {
-            for (JsonNode instance : body.path("instances")) {
+        for (JsonNode instance : body.path("instances")) {
+            try {
                 if (instance.path("kind").asText().equals("engine")) {
                     engines.add(parseEngine(instance));
                 } else {
                     services.add(parseService(instance));
                 }
+            } catch (IllegalArgumentException e) {
+                String id = instance.path("id").asText();
+                malformedInstances.warn(id, "ignoring malformed instance \"" + id + "\": " + e.getMessage());
             }
-        } catch (IllegalArgumentException e) {
-            throw new IOException("malformed instance list: " + e.getMessage(), e);
         }
         return new InstanceList(engines, services);
     }
