--- a/entry/src/main/java/org/baobabspindle/platform/LogFollower.java
+++ b/entry/src/main/java/org/baobabspindle/platform/LogFollower.java
@@ -1,7 +1,5 @@
 package org.baobabspindle.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -17,6 +15,7 @@
 import org.baobabspindle.core.log.LogEnvelope;
 import org.baobabspindle.core.log.ReplayedState;
 import org.baobabspindle.core.log.SnapshotTaken;
+import org.baobabspindle.logging.OncePerKeyLog;
 
 /**
  * Reads the log continuously and passes every record to a sink. It starts at the first record, or at the first usable snapshot
@@ -31,6 +30,7 @@
     private final Supplier<Instant> clock;
     private final Duration longPoll;
     private final Sink sink;
+    private final OncePerKeyLog malformedSnapshots = new OncePerKeyLog(LogFollower.class);
     private final Semaphore readRequests = new Semaphore(0);
     private final CompletableFuture<Void> caughtUp = new CompletableFuture<>();
     private Optional<LogOffset> initialHead = Optional.empty();
@@ -171,7 +171,7 @@
         }
     }
 
-    private static Optional<ReplayedState> parseSnapshot(String line, LogOffset firstRetained) throws IOException {
+    private Optional<ReplayedState> parseSnapshot(String line, LogOffset firstRetained) {
         if (!line.contains("snapshot-taken")) {
             return Optional.empty();
         }
@@ -182,14 +182,13 @@
         if (snapshot.covers().compareTo(firstRetained) < 0) {
             return Optional.empty();
         }
-        return Optional.of(parseState(snapshot.state()));
-    }
-
-    private static ReplayedState parseState(JsonNode state) throws IOException {
         try {
-            return ReplayedState.restore(state);
-        } catch (JsonProcessingException e) {
-            throw new IOException("malformed snapshot", e);
+            return Optional.of(ReplayedState.restore(snapshot.state()));
+        } catch (IOException | RuntimeException e) {
+            String writer =
+                    envelope.get().writer() + " number " + envelope.get().sequence();
+            malformedSnapshots.warn(writer, "ignoring the malformed snapshot in the record of " + writer + ": " + e);
+            return Optional.empty();
         }
     }
 
