--- a/review/standins/StoreCalls.java
+++ b/review/standins/StoreCalls.java
@@ -5,9 +5,11 @@
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.URI;
+import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** The calls of a runner to the store and to other runners, over HTTP, so that a runner may have a process of its own. */
@@ -37,14 +39,32 @@
         read(c);
     }
 
-    /** Returns the newest records of a keyed topic. */
+    /** Returns the newest records of a keyed topic, without those whose content is no JSON object. */
     Map<String, JsonNode> newest(String topic) throws IOException {
-        JsonNode page = read(open("http://" + store + "/api/log-newest?topic=" + topic + "&part=0"));
         Map<String, JsonNode> records = new TreeMap<>();
-        for (JsonNode e : page.get("entries")) {
-            records.put(e.get("key").textValue(), MAPPER.readTree(e.get("value").binaryValue()));
+        String after = "";
+        while (true) {
+            JsonNode page = read(open("http://" + store + "/api/log-newest?topic=" + topic + "&part=0&after="
+                    + URLEncoder.encode(after, StandardCharsets.UTF_8).replace("+", "%20")));
+            for (JsonNode e : page.get("entries")) {
+                after = e.get("key").textValue();
+                Optional<JsonNode> content = object(e.get("value").binaryValue());
+                if (content.isPresent()) {
+                    records.put(after, content.get());
+                }
+            }
+            if (!page.get("has_more").booleanValue()) {
+                return records;
+            }
+        }
+    }
+
+    private static Optional<JsonNode> object(byte[] content) {
+        try {
+            return Optional.of(MAPPER.readTree(content)).filter(JsonNode::isObject);
+        } catch (IOException e) {
+            return Optional.empty();
         }
-        return records;
     }
 
     /** Returns what a runner reports of itself. */
--- a/review/standins/StoreStandin.java
+++ b/review/standins/StoreStandin.java
@@ -7,24 +7,38 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The platform's store: the calls of PROTOCOL.md that an entry makes, in memory and without limits of rate. */
+/**
+ * The platform's store: the calls of PROTOCOL.md that an entry makes, in memory and without limits of rate. Its list of runners
+ * is longer than a page and holds records of another writer, which name no runner.
+ */
 final class StoreStandin extends RawServer {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int PARTITIONS = 16;
     private static final int MAX_RECORDS = 2_000;
 
+    /** The keys of a page of the newest records; few, so that each read takes several pages. */
+    private static final int PAGE_KEYS = 5;
+
+    /** Keys of another writer; some of them end a page, whatever runners there are. */
+    private static final List<String> FOREIGN_KEYS = List.of(
+            " ", "%zz", "a&b", "a+b", "a#b", "a b", "e-0&after=", "e-1%41", "i-0 ", "i-0&x", "i-0+x", "i-5#", "i-€", "z=?");
+
+    /** Contents that describe no runner. */
+    private static final List<String> FOREIGN_CONTENTS =
+            List.of("{", "null", "{}", "7", "{\"service\":7,\"addr\":\"127.0.0.1:1\"}", "\u0000");
+
     private final Map<String, List<byte[]>> logs = new HashMap<>();
-    private final Map<String, Map<String, Newest>> newest = new HashMap<>();
+    private final Map<String, TreeMap<String, Newest>> newest = new HashMap<>();
     private final Map<String, Members> groups = new HashMap<>();
 
     private volatile int answerMillis;
@@ -34,6 +48,9 @@
 
     StoreStandin(String host) throws IOException {
         super(host);
+        for (int i = 0; i < FOREIGN_KEYS.size(); i++) {
+            put("keyed.servers", FOREIGN_KEYS.get(i), FOREIGN_CONTENTS.get(i % FOREIGN_CONTENTS.size()));
+        }
     }
 
     /** Sets how long each call of an entry takes, and whether it is refused with 503. */
@@ -57,7 +74,7 @@
             String key = new String(record, 1, length, StandardCharsets.UTF_8);
             byte[] value = new byte[record.length - 1 - length];
             System.arraycopy(record, 1 + length, value, 0, value.length);
-            Map<String, Newest> keys = newest.computeIfAbsent(topic, t -> new LinkedHashMap<>());
+            TreeMap<String, Newest> keys = newest.computeIfAbsent(topic, t -> new TreeMap<>());
             if (value.length == 0) {
                 keys.remove(key);
             } else {
@@ -80,7 +97,7 @@
         switch (r.path()) {
             case "/api/log-append" -> appendRecords(r, c);
             case "/api/log-read" -> read(r, c);
-            case "/api/log-newest" -> respond(c, newest(r.query("topic")));
+            case "/api/log-newest" -> respond(c, newest(r.query("topic"), decode(r.query("after"))));
             case "/api/log-join" -> respond(c, join(MAPPER.readTree(r.body())));
             case "/api/log-leave" -> respond(c, leave(MAPPER.readTree(r.body())));
             default -> c.respond(404, "", new byte[0]);
@@ -131,14 +148,21 @@
         c.respond(200, "Content-Type: application/octet-stream\r\nStore-Era: 0\r\n", bytes.toByteArray());
     }
 
-    private synchronized JsonNode newest(String topic) {
+    /** Decodes a part of a query, in which a plus is a plus. */
+    private static String decode(String text) {
+        return URLDecoder.decode(text.replace("+", "%2B"), StandardCharsets.UTF_8);
+    }
+
+    private synchronized JsonNode newest(String topic, String after) {
         ObjectNode page = MAPPER.createObjectNode();
         ArrayNode entries = page.putArray("entries");
-        newest.getOrDefault(topic, Map.of()).forEach((key, n) -> entries.addObject()
-                .put("key", key)
-                .put("value", Base64.getEncoder().encodeToString(n.value()))
-                .put("offset", n.offset()));
-        return page.put("has_more", false)
+        Map<String, Newest> rest =
+                newest.getOrDefault(topic, new TreeMap<>()).tailMap(after, after.isEmpty());
+        rest.entrySet().stream().limit(PAGE_KEYS).forEach(e -> entries.addObject()
+                .put("key", e.getKey())
+                .put("value", Base64.getEncoder().encodeToString(e.getValue().value()))
+                .put("offset", e.getValue().offset()));
+        return page.put("has_more", rest.size() > PAGE_KEYS)
                 .put("end", logs.getOrDefault(topic, List.of()).size());
     }
 
