--- a/review/standins/StoreStandin.java
+++ b/review/standins/StoreStandin.java
@@ -29,9 +29,9 @@
     /** The keys of a page of the newest records; few, so that each read takes several pages. */
     private static final int PAGE_KEYS = 5;
 
-    /** Keys of another writer; some of them end a page, whatever runners there are. */
-    private static final List<String> FOREIGN_KEYS = List.of(
-            " ", "%zz", "a&b", "a+b", "a#b", "a b", "e-0&after=", "e-1%41", "i-0 ", "i-0&x", "i-0+x", "i-5#", "i-€", "z=?");
+    /** The ends of keys of another writer. */
+    private static final List<String> FOREIGN_ENDS =
+            List.of("&x", "&after=", "+x", "#x", "%zz", "%41", " x", " ", "€", "?", "=", "\"", "\\", "/../");
 
     /** Contents that describe no runner. */
     private static final List<String> FOREIGN_CONTENTS =
@@ -48,8 +48,16 @@
 
     StoreStandin(String host) throws IOException {
         super(host);
-        for (int i = 0; i < FOREIGN_KEYS.size(); i++) {
-            put("keyed.servers", FOREIGN_KEYS.get(i), FOREIGN_CONTENTS.get(i % FOREIGN_CONTENTS.size()));
+        putForeignRecords();
+    }
+
+    /** Writes more records of each kind than a page holds, so that pages end with each of them. */
+    private void putForeignRecords() {
+        for (int kind = 0; kind < FOREIGN_ENDS.size(); kind++) {
+            for (int i = 0; i <= PAGE_KEYS; i++) {
+                String key = String.format("a-%02d-%d", kind, i) + FOREIGN_ENDS.get(kind);
+                put("keyed.servers", key, FOREIGN_CONTENTS.get(i % FOREIGN_CONTENTS.size()));
+            }
         }
     }
 
