--- a/core/src/test/java/org/baobabspindle/core/formation/CopiedRecordTests.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/CopiedRecordTests.java
@@ -12,25 +12,9 @@
 
 /** Tests groups beside a record that repeats the one of a member under another name. */
 class CopiedRecordTests extends FormationTestSupport {
-    private static BackendServer copy(BackendServer s, String id) {
-        return new BackendServer(
-                InstanceId.of(id),
-                s.service(),
-                s.host(),
-                s.port(),
-                s.zone(),
-                s.state(),
-                s.slots(),
-                s.bornMillis(),
-                s.domain(),
-                s.model(),
-                s.staged(),
-                s.group());
-    }
-
     private static List<BackendServer> groupBesideCopy(int rank, String id, boolean copyFirst) {
         List<BackendServer> engines = new ArrayList<>(group(Engines.SMALL, MemberState.OPEN, MemberState.READY));
-        engines.add(copyFirst ? 0 : engines.size(), copy(engines.get(rank), id));
+        engines.add(copyFirst ? 0 : engines.size(), Engines.withId(engines.get(rank), id));
         return engines;
     }
 
--- a/core/src/test/java/org/baobabspindle/core/formation/Engines.java
+++ b/core/src/test/java/org/baobabspindle/core/formation/Engines.java
@@ -61,12 +61,21 @@
     }
 
     public static BackendServer inZone(BackendServer s, String zone) {
+        return copy(s, s.id(), AvailabilityZone.of(zone));
+    }
+
+    /** Returns a copy of the record of an engine under another name. */
+    public static BackendServer withId(BackendServer s, String id) {
+        return copy(s, InstanceId.of(id), s.zone());
+    }
+
+    private static BackendServer copy(BackendServer s, InstanceId id, AvailabilityZone zone) {
         return new BackendServer(
-                s.id(),
+                id,
                 s.service(),
                 s.host(),
                 s.port(),
-                AvailabilityZone.of(zone),
+                zone,
                 s.state(),
                 s.slots(),
                 s.bornMillis(),
