--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
@@ -51,26 +51,10 @@
             ratings.put(target, new Rating(failures, old.exclusion(), old.until(), old.untilResponse()));
             return false;
         }
-        exclude(target, old.exclusion(), now);
-        return true;
-    }
-
-    /**
-     * Records that another instance answered at the address of a target, which excludes the target at once: it runs nothing
-     * until its record or its address changes.
-     *
-     * @param target the key of the target
-     * @param now the present time
-     */
-    public void recordOtherInstance(String target, Moment now) {
-        Rating old = ratings.get(target);
-        exclude(target, old == null ? MIN_EXCLUSION.dividedBy(2) : old.exclusion(), now);
-    }
-
-    private void exclude(String target, Duration lastExclusion, Moment now) {
-        Duration doubled = lastExclusion.multipliedBy(2);
+        Duration doubled = old.exclusion().multipliedBy(2);
         Duration exclusion = doubled.compareTo(MAX_EXCLUSION) > 0 ? MAX_EXCLUSION : doubled;
         ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, exclusion, now.plus(exclusion), false));
+        return true;
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -423,7 +423,6 @@
         drain(now);
     }
 
-    /** An engine also answers as another instance while it is not the head of its group, which its record shows soon. */
     private void recordHealth(Target target, CallResult result, Moment now) {
         if (result == CallResult.SUCCEEDED) {
             health.recordSuccess(target.key());
@@ -432,7 +431,8 @@
                 rateLimits.cold().excluded(target.server().lifetime(), health.usableAt(target.key(), now), now);
             }
         } else if (result == CallResult.OTHER_INSTANCE && target.group().isEmpty()) {
-            health.recordOtherInstance(target.key(), now);
+            // An engine also answers so while it is not the head of its group, which its record shows soon.
+            health.recordFailure(target.key(), now);
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/FeedPoller.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FeedPoller.java
@@ -21,11 +21,12 @@
 /**
  * Polls a feed of the store with long polls. The first read fetches the latest record of each key; each further read
  * continues at the position where the last one ended. In a new era of the store, whose offsets are given out again, it
- * starts anew, as it does after a page that could not be processed, whose records would be lost otherwise, unless that is
- * because of single records, which are left out. The first
- * read after a failure does not wait for records, so that the recovery of the store is noticed at
- * once. If the store does not return the latest records of all keys, those that it returns are used, further ones as they are
- * written again, and all keys are read again from time to time.
+ * starts anew. The first read after a failure does not wait for records, so that the recovery of the store is noticed at
+ * once.
+ *
+ * <p>Records that cannot be processed are left out of their page. After a page that cannot be processed for another reason,
+ * whose records would be lost otherwise, it starts anew as well. If the store does not return the latest records of all keys,
+ * those that it returns are used, further ones as they are written again, and all keys are read again from time to time.
  */
 final class FeedPoller {
     /** The delay after a failed read; during an outage of the store each feed is retried a few times a second. */
--- a/entry/src/main/java/org/baobabspindle/gateway/ServerDestination.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ServerDestination.java
@@ -134,10 +134,6 @@
             sentAt.ifPresent(
                     at -> context.dispatcher().requestServed(pool, Duration.ofMillis(now.monotonicMillisSince(at))));
         }
-        if (result == Dispatcher.CallResult.OTHER_INSTANCE) {
-            context.log()
-                    .write("other-instance", "another instance answered at the address of the target", "target", key());
-        }
         if (sentAt.isPresent()) {
             context.fleet().evacuations().requestEnded(target.server().zone());
         }
