--- a/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/baobabspindle/core/dispatch/TargetHealth.java
@@ -15,6 +15,11 @@
      */
     private static final int EXCLUSION_FAILURES = 2;
 
+    /**
+     * The consecutive answers of another instance that exclude a target; rare for a server that rejects single requests so.
+     */
+    private static final int EXCLUSION_OTHER_INSTANCE_ANSWERS = 5;
+
     /** The duration of the first exclusion; as long as a few requests. */
     private static final Duration MIN_EXCLUSION = Duration.ofSeconds(1);
 
@@ -26,7 +31,19 @@
     /** Creates ratings in which no target is excluded. */
     public TargetHealth() {}
 
-    private record Rating(int failures, Duration exclusion, Moment until, boolean untilResponse) {}
+    private record Rating(
+            int failures, int otherInstanceAnswers, Duration exclusion, Moment until, boolean untilResponse) {
+        static Rating initial(Moment now) {
+            return new Rating(0, 0, MIN_EXCLUSION.dividedBy(2), now, false);
+        }
+
+        /** Returns the rating with an exclusion that lasts twice as long as the last one, up to a maximum duration. */
+        Rating excluded(int newFailures, int newOtherInstanceAnswers, Moment now) {
+            Duration doubled = exclusion.multipliedBy(2);
+            Duration next = doubled.compareTo(MAX_EXCLUSION) > 0 ? MAX_EXCLUSION : doubled;
+            return new Rating(newFailures, newOtherInstanceAnswers, next, now.plus(next), false);
+        }
+    }
 
     /**
      * Records a successful request, which ends the exclusion of the target.
@@ -45,18 +62,34 @@
      * @return whether this failure excludes the target
      */
     public boolean recordFailure(String target, Moment now) {
-        Rating old = ratings.getOrDefault(target, new Rating(0, MIN_EXCLUSION.dividedBy(2), now, false));
+        Rating old = ratings.getOrDefault(target, Rating.initial(now));
         int failures = old.failures() + 1;
         if (failures < EXCLUSION_FAILURES) {
-            ratings.put(target, new Rating(failures, old.exclusion(), old.until(), old.untilResponse()));
+            ratings.put(target, new Rating(failures, 0, old.exclusion(), old.until(), old.untilResponse()));
             return false;
         }
-        Duration doubled = old.exclusion().multipliedBy(2);
-        Duration exclusion = doubled.compareTo(MAX_EXCLUSION) > 0 ? MAX_EXCLUSION : doubled;
-        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, exclusion, now.plus(exclusion), false));
+        ratings.put(target, old.excluded(EXCLUSION_FAILURES - 1, 0, now));
         return true;
     }
 
+    /**
+     * Records that another instance answered at the address of a target. After some such answers in a row, the target is
+     * excluded as after failures, since it may be the copy of another record.
+     *
+     * @param target the key of the target
+     * @param now the present time
+     */
+    public void recordOtherInstance(String target, Moment now) {
+        Rating old = ratings.getOrDefault(target, Rating.initial(now));
+        int answers = old.otherInstanceAnswers() + 1;
+        if (answers >= EXCLUSION_OTHER_INSTANCE_ANSWERS) {
+            ratings.put(target, old.excluded(old.failures(), answers - 1, now));
+            return;
+        }
+        Moment until = old.until().isBefore(now) ? now : old.until();
+        ratings.put(target, new Rating(old.failures(), answers, old.exclusion(), until, old.untilResponse()));
+    }
+
     /**
      * Excludes a target that does not respond until it responds, or until a given time at the latest.
      *
@@ -64,7 +97,7 @@
      * @param until the end of the exclusion
      */
     public void excludeUntil(String target, Moment until) {
-        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, MIN_EXCLUSION, until, true));
+        ratings.put(target, new Rating(EXCLUSION_FAILURES - 1, 0, MIN_EXCLUSION, until, true));
     }
 
     /**
--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -432,7 +432,7 @@
             }
         } else if (result == CallResult.OTHER_INSTANCE && target.group().isEmpty()) {
             // An engine also answers so while it is not the head of its group, which its record shows soon.
-            health.recordFailure(target.key(), now);
+            health.recordOtherInstance(target.key(), now);
         }
     }
 
