--- a/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Dispatcher.java
@@ -430,8 +430,7 @@
             if (health.recordFailure(target.key(), now)) {
                 rateLimits.cold().excluded(target.server().lifetime(), health.usableAt(target.key(), now), now);
             }
-        } else if (result == CallResult.OTHER_INSTANCE && target.group().isEmpty()) {
-            // An engine also answers so while it is not the head of its group, which its record shows soon.
+        } else if (result == CallResult.OTHER_INSTANCE) {
             health.recordOtherInstance(target.key(), now);
         }
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/ServerDestination.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ServerDestination.java
@@ -129,7 +129,8 @@
     }
 
     @Override
-    public void ended(boolean started, Dispatcher.CallResult result, Moment now) {
+    public void ended(boolean started, Dispatcher.CallResult callResult, Moment now) {
+        Dispatcher.CallResult result = resultForTarget(callResult);
         if (result == Dispatcher.CallResult.SUCCEEDED) {
             sentAt.ifPresent(
                     at -> context.dispatcher().requestServed(pool, Duration.ofMillis(now.monotonicMillisSince(at))));
@@ -140,4 +141,11 @@
         promptRead(Optional.empty());
         context.dispatcher().ended(pool, target, streaming && sentAt.isPresent(), started, result, now);
     }
+
+    /** An engine also answers as another instance while it is not the head of its group, which shows that it responds. */
+    private Dispatcher.CallResult resultForTarget(Dispatcher.CallResult result) {
+        return result == Dispatcher.CallResult.OTHER_INSTANCE && target.group().isPresent()
+                ? Dispatcher.CallResult.SUCCEEDED
+                : result;
+    }
 }
