--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.baobabspindle.core.dispatch.ColdLimit;
 import org.baobabspindle.core.dispatch.ColdServers;
 import org.baobabspindle.core.dispatch.TargetCatalog;
@@ -47,6 +48,8 @@
     private long revision;
     private Optional<Listing> listing = Optional.empty();
     private Set<BackendServer.Lifetime> leaving = Set.of();
+    private final VersionLag lag = new VersionLag();
+    private Consumer<Duration> onInstalled = lagged -> {};
     private boolean serversRead;
     private long serversEra;
 
@@ -76,6 +79,11 @@
         return evacuations;
     }
 
+    /** Sets a listener that receives how long each installed version was missing, before the first one is installed. */
+    void setInstallationListener(Consumer<Duration> listener) {
+        onInstalled = listener;
+    }
+
     /**
      * Applies records of the configuration feed. The read confirms the configuration as of the time it was requested,
      * unless the store is behind this entry: it was restored from an older copy then, and may have lost a newer version
@@ -83,14 +91,14 @@
      *
      * @param snapshot whether the records are the latest of all keys
      */
-    synchronized void configurationRead(List<FeedRecord> records, boolean snapshot, Moment requestedAt) {
+    synchronized void configurationRead(List<FeedRecord> records, boolean snapshot, Moment requestedAt, Moment now) {
         if (snapshot) {
             storedVersion = -1;
         }
         for (FeedRecord r : records) {
             decoder.configuration(r).ifPresent(c -> {
                 storedVersion = c.version();
-                install(c, r.key(), r.value().orElseThrow(), "the store");
+                install(c, r.key(), r.value().orElseThrow(), "the feed", now);
             });
         }
         if (storedVersion >= version()) {
@@ -98,10 +106,12 @@
         }
     }
 
-    private void install(FleetConfiguration c, String key, byte[] bytes, String source) {
+    private void install(FleetConfiguration c, String key, byte[] bytes, String source, Moment now) {
         if (configuration.isPresent() && c.version() <= configuration.get().version()) {
             return;
         }
+        Optional<Duration> missingFor = lag.installed(c.version(), now);
+        onInstalled.accept(missingFor.orElse(Duration.ZERO));
         log.write(
                 "configuration",
                 "newer version installed",
@@ -110,7 +120,13 @@
                 "before",
                 configuration.map(FleetConfiguration::version).orElse(-1L),
                 "source",
-                source);
+                source,
+                "bytes",
+                bytes.length,
+                "missingMs",
+                missingFor.map(Duration::toMillis).orElse(0L),
+                "confirmedMsAgo",
+                configurationAge(now).map(Duration::toMillis).orElse(-1L));
         configuration = Optional.of(c);
         configurationKey = key;
         configurationBytes = bytes;
@@ -136,11 +152,23 @@
         }
     }
 
+    /** Another entry follows a version that is newer than the one of this entry. */
+    synchronized void newerVersionStated(long version, Moment now) {
+        if (version > version()) {
+            lag.stated(version, now);
+        }
+    }
+
+    /** Returns for how long this entry has known that there is a newer version; zero if it knows of none. */
+    synchronized Duration versionLag(Moment now) {
+        return lag.current(now);
+    }
+
     /** Installs a configuration that another entry read from the store, if it is newer. */
-    synchronized void configurationFromPeer(String key, String text) {
+    synchronized void configurationFromPeer(InstanceId from, String key, String text, Moment now) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         decoder.configuration(new FeedRecord(key, Optional.of(bytes)))
-                .ifPresent(c -> install(c, key, bytes, "another entry"));
+                .ifPresent(c -> install(c, key, bytes, from.value(), now));
     }
 
     /** Applies a page of the list of backend servers; a snapshot also removes the servers that it does not contain. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -30,6 +30,7 @@
     private final GroupKeeper keeper;
     private final BooleanSupplier ready;
     private final Runnable onConfigurationChanged;
+    private final ConfigurationUpdates configuration;
     private final ServerNotices notices;
     private final PageServer pages;
     private final Supplier<Optional<Long>> storeAge;
@@ -74,6 +75,8 @@
         this.keeper = keeper;
         this.ready = ready;
         this.onConfigurationChanged = onConfigurationChanged;
+        this.configuration = new ConfigurationUpdates(
+                context.fleet(), mesh::requestConfiguration, context.clock(), onConfigurationChanged);
     }
 
     void setSuspicionListener(SuspicionListener listener) {
@@ -145,7 +148,7 @@
         context.dispatcher().updatePeerCounts(from.entry().instance(), pulse.loads(), pulse.unread(), now);
         updateEvacuations(pulse, Optional.of(requestedAt), now);
         context.dispatcher().answered(from.entry().instance(), requestedAt);
-        updateConfiguration(from, pulse, requestedAt);
+        configuration.stateReceived(from.entry().instance(), pulse, requestedAt, now);
         notices.receiveLeaving(pulse.leaving());
         notices.receiveRateLimits(pulse.limits());
         notices.receiveCold(pulse.cold());
@@ -204,23 +207,6 @@
         return mesh.isFirstChoice(cause.value(), now);
     }
 
-    /**
-     * Confirms the configuration by the state of another entry, or fetches a newer version from it. The age in the
-     * state counts until the state was sent, which was not before this entry requested it.
-     */
-    private void updateConfiguration(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment requestedAt) {
-        long localVersion = context.fleet().version();
-        if (pulse.versionAgeMillis() >= 0 && pulse.version() == localVersion) {
-            context.fleet()
-                    .confirmedByPeer(localVersion, requestedAt.minus(Duration.ofMillis(pulse.versionAgeMillis())));
-        } else if (pulse.version() > localVersion) {
-            mesh.requestConfiguration(from, (key, text) -> {
-                context.fleet().configurationFromPeer(key, text);
-                onConfigurationChanged.run();
-            });
-        }
-    }
-
     /** Returns the response to a message of another entry. */
     PeerMessage respond(PeerMessage message) {
         if (message instanceof PeerMessage.PulseAsk p) {
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -71,6 +72,17 @@
         predictionErrors.observe((millis - predictedMillis) / 1_000);
     }
 
+    private final Histogram configurationLags = Histogram.builder()
+            .name("baobabspindle_gateway_configuration_installation_lag_seconds")
+            .help("Time from learning of a newer version of the configuration to its installation.")
+            .classicOnly()
+            .classicUpperBounds(0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5)
+            .register(registry);
+
+    void configurationInstalled(Duration missingFor) {
+        configurationLags.observe(missingFor.toMillis() / 1e3);
+    }
+
     void retried(String service, boolean allowed) {
         retries.labelValues(service, allowed ? "allowed" : "denied").inc();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -140,6 +140,7 @@
         headroom = new OwnHeadroom(settings.capacity(), new ProcessUsage());
         store = createStore(platform);
         fleet = FleetTable.of(platform, log);
+        VersionMetrics.register(fleet, clock, metrics);
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
         mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, log);
@@ -370,7 +371,7 @@
                 (page, snapshot, requestedAt) -> {
                     Moment provenAt = store.provenAt(Feed.CONFIGURATION).orElse(requestedAt);
                     evacuations.pageRead(page, snapshot, provenAt);
-                    fleet.configurationRead(page.records(), snapshot, provenAt);
+                    fleet.configurationRead(page.records(), snapshot, provenAt, clock.now());
                     fleetChanged();
                 });
         startPoller(
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -290,9 +290,13 @@
         }
     }
 
-    /** Requests the configuration of an entry; the sink is not called if the request fails. */
-    void requestConfiguration(EntryAnnouncement from, ConfigurationSink sink) {
-        client.ask(from.peerAddress(), new PeerMessage.ConfigurationAsk(), REQUEST_TIMEOUT)
+    /** Requests the configuration of an entry; the sink is not called if the request fails or the entry is not known. */
+    void requestConfiguration(InstanceId from, ConfigurationUpdates.ConfigurationSink sink) {
+        Optional<PeerAddress> address = peerAddress(from);
+        if (address.isEmpty()) {
+            return;
+        }
+        client.ask(address.get(), new PeerMessage.ConfigurationAsk(), REQUEST_TIMEOUT)
                 .thenAccept(a -> {
                     if (a instanceof PeerMessage.ConfigurationAnswer c) {
                         sink.received(c.key(), c.text());
@@ -300,6 +304,10 @@
                 });
     }
 
+    private synchronized Optional<PeerAddress> peerAddress(InstanceId entry) {
+        return Optional.ofNullable(peers.get(entry)).map(p -> p.entry.peerAddress());
+    }
+
     /**
      * Requests the crashes of the requests that an entry has in quarantine; the sink is not called if the request
      * fails.
@@ -313,11 +321,6 @@
                 });
     }
 
-    /** Receives a configuration of another entry. */
-    interface ConfigurationSink {
-        void received(String key, String text);
-    }
-
     /**
      * Reads a feed from the next entry in turn that serves it at a level, and from another one if that fails; empty if
      * there is none or both fail.
--- a/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
@@ -4,12 +4,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.baobabspindle.core.fleet.CallerLimits;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.ServerRegistration;
+import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.port.FeedRecord;
@@ -45,14 +47,19 @@
 
     private void read(String text, long requestedAt) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        table.configurationRead(List.of(new FeedRecord("configuration", Optional.of(bytes))), false, at(requestedAt));
+        table.configurationRead(
+                List.of(new FeedRecord("configuration", Optional.of(bytes))), false, at(requestedAt), at(requestedAt));
+    }
+
+    private void received(String text) {
+        table.configurationFromPeer(InstanceId.of("other"), "configuration", text, at(100));
     }
 
     @Test
     void ignoresOlderVersions() {
         read("7", 0);
         read("5", 10);
-        table.configurationFromPeer("configuration", "6");
+        received("6");
         assertThat(table.version()).isEqualTo(7);
         assertThat(table.configurationText()).isEqualTo("7");
     }
@@ -60,7 +67,7 @@
     @Test
     void installsNewerVersionFromAnotherEntry() {
         read("7", 0);
-        table.configurationFromPeer("configuration", "9");
+        received("9");
         assertThat(table.version()).isEqualTo(9);
     }
 
@@ -77,17 +84,30 @@
     @Test
     void storeWithoutConfigurationDoesNotConfirm() {
         read("7", 0);
-        table.configurationRead(List.of(), true, at(4_000));
+        table.configurationRead(List.of(), true, at(4_000), at(4_000));
         assertThat(table.configurationAge(at(5_000))).isEqualTo(Optional.of(Duration.ofSeconds(5)));
     }
 
     @Test
     void readWithoutRecordsConfirms() {
         read("7", 0);
-        table.configurationRead(List.of(), false, at(4_000));
+        table.configurationRead(List.of(), false, at(4_000), at(4_000));
         assertThat(table.configurationAge(at(5_000))).isEqualTo(Optional.of(Duration.ofSeconds(1)));
     }
 
+    @Test
+    void lagCountsFromTheFirstNewerVersionThatIsStated() {
+        List<Duration> lags = new ArrayList<>();
+        table.setInstallationListener(lags::add);
+        read("7", 0);
+        table.newerVersionStated(8, at(40));
+        table.newerVersionStated(9, at(70));
+        assertThat(table.versionLag(at(90))).isEqualTo(Duration.ofMillis(50));
+        received("9");
+        assertThat(lags).containsExactly(Duration.ZERO, Duration.ofMillis(60)).inOrder();
+        assertThat(table.versionLag(at(200))).isEqualTo(Duration.ZERO);
+    }
+
     @Test
     void keepsConfigurationIfRecordIsMalformed() {
         read("7", 0);
