--- a/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
@@ -34,7 +34,6 @@
 
 /** A fleet of entries that read a store, in simulated time. */
 final class StoreReplay {
-    private static final int LINK_MILLIS = 5;
     private static final int STORE_MILLIS = 10;
     private static final int STORE_TIMEOUT_MILLIS = 1_500;
     private static final int READ_TIMEOUT_MILLIS = 400;
@@ -45,9 +44,16 @@
 
     private static final int SERVER_RECORDS_PER_SECOND = 140;
     private static final int CONFIGURATION_INTERVAL_MILLIS = 4_400;
+    private static final int REQUEST_TIMEOUT_MILLIS = 800;
+
+    /** The size of a state or of a request, in bytes. */
+    private static final int STATE_BYTES = 1_000;
+
+    private static final int SERVER_RECORD_BYTES = 300;
 
     final Time time = new Time();
-    final Log log = new Log();
+    final Log log;
+    final SimulatedLinks links;
     final Map<StorePurpose, Integer> calls = new HashMap<>();
     private final List<Entry> entries = new ArrayList<>();
     private final Map<String, Integer> recordsServed = new HashMap<>();
@@ -55,6 +61,18 @@
     private int readsAfterStart;
 
     StoreReplay(int count, long seed) {
+        this(count, seed, Double.POSITIVE_INFINITY, new SimulatedConfigurations());
+    }
+
+    /**
+     * Creates a fleet.
+     *
+     * @param linkMegabits the capacity of the link of each entry, in Mbit/s
+     * @param configurations the configurations that an operator writes; if none, a short record is written now and then
+     */
+    StoreReplay(int count, long seed, double linkMegabits, SimulatedConfigurations configurations) {
+        links = new SimulatedLinks(linkMegabits);
+        log = new Log(configurations);
         random = new SplittableRandom(seed);
         for (int i = 0; i < count; i++) {
             Entry e = new Entry(InstanceId.of("e" + i));
@@ -110,6 +128,36 @@
         }
     }
 
+    /** Sends a request, which is lost if its receiver cannot be reached or is frozen. */
+    private void sendRequest(Entry from, Entry to, Runnable receive) {
+        time.at(links.arrival(from, to, STATE_BYTES, time.millis()), () -> {
+            if (from.reaches(to)) {
+                receive.run();
+            }
+        });
+    }
+
+    /** Sends an answer; a receiver that is frozen processes it later. */
+    private void sendAnswer(Entry from, Entry to, long bytes, Runnable receive) {
+        long now = time.millis();
+        to.after(links.arrival(from, to, bytes, now) - now, receive);
+    }
+
+    private static long contentBytes(FeedPage page) {
+        return page.records().stream()
+                .mapToLong(r -> Math.max(
+                        SERVER_RECORD_BYTES, r.value().map(v -> v.length).orElse(0)))
+                .sum();
+    }
+
+    private static long bytes(PeerMessage.FeedAnswer answer) {
+        return answer.records().stream()
+                .mapToLong(r -> Math.max(
+                        SERVER_RECORD_BYTES,
+                        r.content() == null ? 0 : r.content().length()))
+                .sum();
+    }
+
     private void called(StorePurpose purpose) {
         calls.merge(purpose, 1, Integer::sum);
         boolean reads = purpose == StorePurpose.READ || purpose == StorePurpose.FALLBACK;
@@ -168,11 +216,22 @@
     /** What the store contains, by time. */
     static final class Log {
         private final List<Long> started = new ArrayList<>();
+        private final SimulatedConfigurations configurations;
+
+        Log(SimulatedConfigurations configurations) {
+            this.configurations = configurations;
+        }
+
+        private boolean hasConfigurations() {
+            return !configurations.versions().isEmpty();
+        }
 
         long size(Feed feed, long millis) {
             return switch (feed) {
                 case BACKEND_SERVERS -> millis * SERVER_RECORDS_PER_SECOND / 1_000;
-                case CONFIGURATION -> 1 + millis / CONFIGURATION_INTERVAL_MILLIS;
+                case CONFIGURATION -> hasConfigurations()
+                        ? configurations.count(millis)
+                        : 1 + millis / CONFIGURATION_INTERVAL_MILLIS;
                 case ENTRIES -> started.stream().filter(s -> s <= millis).count();
             };
         }
@@ -180,10 +239,24 @@
         FeedPage page(Feed feed, long from, long millis) {
             List<FeedRecord> records = new ArrayList<>();
             for (long i = from; i < size(feed, millis); i++) {
-                records.add(new FeedRecord("r" + i, Optional.of(new byte[0])));
+                records.add(record(feed, i));
             }
             return new FeedPage(records, new FeedPosition(1, from + records.size()), false);
         }
+
+        private FeedRecord record(Feed feed, long i) {
+            return feed == Feed.CONFIGURATION && hasConfigurations()
+                    ? configurations.versions().get((int) i).record()
+                    : new FeedRecord("r" + i, Optional.of(new byte[0]));
+        }
+
+        /** Returns the latest record of each key; without configurations only where the feed ends. */
+        FeedPage latest(Feed feed, long millis) {
+            long end = size(feed, millis);
+            boolean newest = feed == Feed.CONFIGURATION && hasConfigurations() && end > 0;
+            List<FeedRecord> records = newest ? List.of(record(feed, end - 1)) : List.of();
+            return new FeedPage(records, new FeedPosition(1, end), false);
+        }
     }
 
     /** An entry, its view of the others and its link to the store. */
@@ -198,6 +271,9 @@
                 random.split(),
                 (purpose, feed) -> called(purpose),
                 new UndecodedRecords());
+        final FleetTable fleet = new FleetTable(log.configurations, new EventLog());
+        private final ConfigurationUpdates updates =
+                new ConfigurationUpdates(fleet, this::requestConfiguration, time, () -> {});
         long frozenUntil;
         private boolean cutFromStore;
         private final List<Entry> others = new ArrayList<>();
@@ -258,6 +334,10 @@
                 @Override
                 public void pageRead(FeedPage page, boolean snapshot, Moment requestedAt) {
                     positions.merge(feed, page.next().offset(), Math::max);
+                    if (feed == Feed.CONFIGURATION && log.hasConfigurations()) {
+                        Moment provenAt = store.provenAt(feed).orElse(requestedAt);
+                        fleet.configurationRead(page.records(), snapshot, provenAt, time.now());
+                    }
                 }
 
                 @Override
@@ -295,8 +375,8 @@
         private PeerMessage.Pulse pulse() {
             return new PeerMessage.Pulse(
                     true,
-                    1,
-                    0,
+                    fleet.version(),
+                    fleet.configurationAge(time.now()).map(Duration::toMillis).orElse(-1L),
                     Map.of(),
                     Map.of(),
                     Map.of(),
@@ -321,20 +401,36 @@
             for (int i = 0; i < known; i++) {
                 Entry other = others.get(next++ % others.size());
                 PeerMessage.Pulse own = pulse();
-                time.at(time.millis() + LINK_MILLIS, () -> {
-                    if (reaches(other)) {
-                        other.source(this).update(own);
-                        PeerMessage.Pulse answer = other.pulse();
-                        after(LINK_MILLIS, () -> {
-                            lastResponses.put(other, time.now());
-                            source(other).update(answer);
-                        });
-                    }
+                Moment requestedAt = time.now();
+                sendRequest(this, other, () -> {
+                    other.source(this).update(own);
+                    PeerMessage.Pulse answer = other.pulse();
+                    sendAnswer(other, this, STATE_BYTES, () -> {
+                        lastResponses.put(other, time.now());
+                        source(other).update(answer);
+                        updates.stateReceived(other.id, answer, requestedAt, time.now());
+                    });
                 });
             }
             after(FleetScaling.EXCHANGE_INTERVAL.toMillis(), this::exchange);
         }
 
+        /** Requests the configuration of another entry, like {@link PeerMesh#requestConfiguration}. */
+        private void requestConfiguration(InstanceId from, ConfigurationUpdates.ConfigurationSink sink) {
+            Entry other =
+                    others.stream().filter(o -> o.id.equals(from)).findFirst().orElseThrow();
+            long until = time.millis() + REQUEST_TIMEOUT_MILLIS;
+            sendRequest(this, other, () -> {
+                String key = other.fleet.configurationKey();
+                String text = other.fleet.configurationText();
+                sendAnswer(other, this, text.length(), () -> {
+                    if (time.millis() <= until) {
+                        sink.received(key, text);
+                    }
+                });
+            });
+        }
+
         private void renew() {
             long preceding =
                     alive(time.now()).stream().filter(o -> o.rank < rank).count();
@@ -371,16 +467,14 @@
                     source(other).readFailed(false, time.now());
                 }
             });
-            time.at(time.millis() + LINK_MILLIS, () -> {
-                if (reaches(other)) {
-                    Optional<PeerMessage.FeedAnswer> answer = other.serve(feed, from);
-                    after(LINK_MILLIS, () -> {
-                        if (answer.isEmpty()) {
-                            source(other).readFailed(true, time.now());
-                        }
-                        result.complete(answer.map(a -> StoreRecords.toPage(a, requestedAt)));
-                    });
-                }
+            sendRequest(this, other, () -> {
+                Optional<PeerMessage.FeedAnswer> answer = other.serve(feed, from);
+                sendAnswer(other, this, answer.map(StoreReplay::bytes).orElse(0L), () -> {
+                    if (answer.isEmpty()) {
+                        source(other).readFailed(true, time.now());
+                    }
+                    result.complete(answer.map(a -> StoreRecords.toPage(a, requestedAt)));
+                });
             });
             return result;
         }
@@ -424,8 +518,8 @@
             return store.provenAt(feed);
         }
 
-        private <T> CompletableFuture<T> call(Supplier<Optional<T>> answer, long wait) {
-            CompletableFuture<T> result = new CompletableFuture<>();
+        private CompletableFuture<FeedPage> call(Supplier<Optional<FeedPage>> answer, long wait) {
+            CompletableFuture<FeedPage> result = new CompletableFuture<>();
             if (cutFromStore) {
                 after(STORE_TIMEOUT_MILLIS, () -> result.completeExceptionally(new StoreException("cut off")));
             } else {
@@ -434,10 +528,11 @@
             return result;
         }
 
-        private <T> void await(Supplier<Optional<T>> answer, long until, CompletableFuture<T> result) {
-            Optional<T> value = answer.get();
+        private void await(Supplier<Optional<FeedPage>> answer, long until, CompletableFuture<FeedPage> result) {
+            Optional<FeedPage> value = answer.get();
             if (value.isPresent()) {
-                after(STORE_MILLIS / 2, () -> result.complete(value.get()));
+                long arrival = links.arrivalFromStore(this, contentBytes(value.get()), time.millis());
+                after(arrival - time.millis(), () -> result.complete(value.get()));
             } else {
                 time.at(Math.min(until, time.millis() + STORE_MILLIS), () -> await(answer, until, result));
             }
@@ -445,10 +540,7 @@
 
         @Override
         public CompletableFuture<FeedPage> readLatest(Feed feed) {
-            return call(
-                    () -> Optional.of(
-                            new FeedPage(List.of(), new FeedPosition(1, log.size(feed, time.millis())), false)),
-                    0);
+            return call(() -> Optional.of(log.latest(feed, time.millis())), 0);
         }
 
         @Override
