--- a/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
@@ -1,25 +1,31 @@
 package org.baobabspindle.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerMessage;
 
-/** Follows the versions of the configuration that other entries state: confirms the own one, or fetches a newer one. */
+/**
+ * Follows the versions of the configuration that other entries state: confirms the own one, or fetches a newer one. One
+ * transfer is in progress at a time, since several would delay each other on the link and bring the same version.
+ */
 final class ConfigurationUpdates {
     private final FleetTable fleet;
     private final Source source;
     private final GatewayClock clock;
     private final Runnable onInstalled;
+    private boolean fetching;
 
-    /** Requests the configuration of another entry; the sink is not called if the request fails. */
-    interface Source {
-        void request(InstanceId from, ConfigurationSink sink);
-    }
+    /** The newest version that was stated while a transfer was in progress, and where it is followed. */
+    private Optional<Stated> next = Optional.empty();
+
+    private record Stated(InstanceId by, long version) {}
 
-    /** Receives a configuration of another entry. */
-    interface ConfigurationSink {
-        void received(String key, String text);
+    /** Requests the configuration of another entry; the future fails if it does not answer in time. */
+    interface Source {
+        CompletableFuture<PeerMessage.ConfigurationAnswer> request(InstanceId from);
     }
 
     ConfigurationUpdates(FleetTable fleet, Source source, GatewayClock clock, Runnable onInstalled) {
@@ -39,10 +45,34 @@
             fleet.confirmedByPeer(localVersion, requestedAt.minus(Duration.ofMillis(state.versionAgeMillis())));
         } else if (state.version() > localVersion) {
             fleet.newerVersionStated(state.version(), now);
-            source.request(from, (key, text) -> {
-                fleet.configurationFromPeer(from, key, text, clock.now());
-                onInstalled.run();
-            });
+            fetch(new Stated(from, state.version()));
         }
     }
+
+    private void fetch(Stated stated) {
+        synchronized (this) {
+            if (fetching) {
+                next = next.filter(n -> n.version() >= stated.version()).or(() -> Optional.of(stated));
+                return;
+            }
+            fetching = true;
+        }
+        source.request(stated.by()).whenComplete((answer, failure) -> {
+            try {
+                if (failure == null) {
+                    fleet.configurationFromPeer(stated.by(), answer.key(), answer.text(), clock.now());
+                    onInstalled.run();
+                }
+            } finally {
+                takeNext().filter(n -> n.version() > fleet.version()).ifPresent(this::fetch);
+            }
+        });
+    }
+
+    private synchronized Optional<Stated> takeNext() {
+        Optional<Stated> taken = next;
+        next = Optional.empty();
+        fetching = false;
+        return taken;
+    }
 }
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -290,18 +290,12 @@
         }
     }
 
-    /** Requests the configuration of an entry; the sink is not called if the request fails or the entry is not known. */
-    void requestConfiguration(InstanceId from, ConfigurationUpdates.ConfigurationSink sink) {
-        Optional<PeerAddress> address = peerAddress(from);
-        if (address.isEmpty()) {
-            return;
-        }
-        client.ask(address.get(), new PeerMessage.ConfigurationAsk(), REQUEST_TIMEOUT)
-                .thenAccept(a -> {
-                    if (a instanceof PeerMessage.ConfigurationAnswer c) {
-                        sink.received(c.key(), c.text());
-                    }
-                });
+    /** Requests the configuration of an entry; the future fails if the entry is not known or does not answer in time. */
+    CompletableFuture<PeerMessage.ConfigurationAnswer> requestConfiguration(InstanceId from) {
+        return peerAddress(from)
+                .map(a -> client.ask(a, new PeerMessage.ConfigurationAsk(), REQUEST_TIMEOUT))
+                .orElseGet(() -> CompletableFuture.failedFuture(new IOException("entry " + from + " is not known")))
+                .thenApply(PeerMessage.ConfigurationAnswer.class::cast);
     }
 
     private synchronized Optional<PeerAddress> peerAddress(InstanceId entry) {
--- a/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.ServerRegistration;
@@ -416,19 +417,17 @@
         }
 
         /** Requests the configuration of another entry, like {@link PeerMesh#requestConfiguration}. */
-        private void requestConfiguration(InstanceId from, ConfigurationUpdates.ConfigurationSink sink) {
+        private CompletableFuture<PeerMessage.ConfigurationAnswer> requestConfiguration(InstanceId from) {
             Entry other =
                     others.stream().filter(o -> o.id.equals(from)).findFirst().orElseThrow();
-            long until = time.millis() + REQUEST_TIMEOUT_MILLIS;
+            CompletableFuture<PeerMessage.ConfigurationAnswer> result = new CompletableFuture<>();
+            after(REQUEST_TIMEOUT_MILLIS, () -> result.completeExceptionally(new TimeoutException()));
             sendRequest(this, other, () -> {
-                String key = other.fleet.configurationKey();
-                String text = other.fleet.configurationText();
-                sendAnswer(other, this, text.length(), () -> {
-                    if (time.millis() <= until) {
-                        sink.received(key, text);
-                    }
-                });
+                PeerMessage.ConfigurationAnswer answer = new PeerMessage.ConfigurationAnswer(
+                        other.fleet.configurationKey(), other.fleet.configurationText());
+                sendAnswer(other, this, answer.text().length(), () -> result.complete(answer));
             });
+            return result;
         }
 
         private void renew() {
