--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -2,7 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,6 +35,8 @@
  * The view of the fleet of this entry: the current configuration, when it was last confirmed, and the backend servers.
  */
 final class FleetTable {
+    private static final int MAX_DECODED = 4;
+
     private final FleetDecoder decoder;
     private final EventLog log;
     private final EvacuationTable evacuations;
@@ -43,6 +48,10 @@
     private long storedVersion = -1;
 
     private String configurationKey = "";
+
+    /** What was decoded last: the feed and several entries bring each version, the feed often after a later one. */
+    private final Deque<Decoded> decoded = new ArrayDeque<>();
+
     private Optional<Moment> confirmedAt = Optional.empty();
     private TargetCatalog catalog = TargetCatalog.empty();
     private long revision;
@@ -53,6 +62,15 @@
     private boolean serversRead;
     private long serversEra;
 
+    private record Decoded(long version, FeedRecord record) {
+        boolean contains(FeedRecord r) {
+            return r.key().equals(record.key())
+                    && r.value()
+                            .filter(v -> Arrays.equals(v, record.value().orElseThrow()))
+                            .isPresent();
+        }
+    }
+
     FleetTable(FleetDecoder decoder, EventLog log) {
         this(decoder, log, new EvacuationTable(decoder, log, Optional.empty(), Set.of()));
     }
@@ -95,17 +113,37 @@
         if (snapshot) {
             storedVersion = -1;
         }
-        for (FeedRecord r : records) {
-            decoder.configuration(r).ifPresent(c -> {
-                storedVersion = c.version();
-                install(c, r.key(), r.value().orElseThrow(), "the feed", now);
-            });
+        // Only the newest version on the page matters; an invalid one leaves the one before in force.
+        for (int i = records.size() - 1; i >= 0; i--) {
+            Optional<Long> version = install(records.get(i), "the feed", now);
+            if (version.isPresent()) {
+                storedVersion = version.get();
+                break;
+            }
         }
         if (storedVersion >= version()) {
             confirmed(requestedAt);
         }
     }
 
+    /** Returns the version in a record, which is installed if it is newer; empty if it contains no valid configuration. */
+    private Optional<Long> install(FeedRecord r, String source, Moment now) {
+        for (Decoded d : decoded) {
+            if (d.contains(r)) {
+                return Optional.of(d.version());
+            }
+        }
+        Optional<FleetConfiguration> c = decoder.configuration(r);
+        c.ifPresent(x -> {
+            decoded.addFirst(new Decoded(x.version(), r));
+            if (decoded.size() > MAX_DECODED) {
+                decoded.removeLast();
+            }
+            install(x, r.key(), r.value().orElseThrow(), source, now);
+        });
+        return c.map(FleetConfiguration::version);
+    }
+
     private void install(FleetConfiguration c, String key, byte[] bytes, String source, Moment now) {
         if (configuration.isPresent() && c.version() <= configuration.get().version()) {
             return;
@@ -167,8 +205,7 @@
     /** Installs a configuration that another entry read from the store, if it is newer. */
     synchronized void configurationFromPeer(InstanceId from, String key, String text, Moment now) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        decoder.configuration(new FeedRecord(key, Optional.of(bytes)))
-                .ifPresent(c -> install(c, key, bytes, from.value(), now));
+        install(new FeedRecord(key, Optional.of(bytes)), from.value(), now);
     }
 
     /** Applies a page of the list of backend servers; a snapshot also removes the servers that it does not contain. */
--- a/entry/src/main/java/org/baobabspindle/gateway/RecentPages.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RecentPages.java
@@ -4,8 +4,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.port.FeedPage;
 import org.baobabspindle.port.FeedPosition;
@@ -13,7 +17,8 @@
 
 /**
  * Buffers the most recent pages of a feed that an entry has read, so that other entries read them instead of the store.
- * The pages may themselves come from another entry; their age counts from the read of the store.
+ * The pages may themselves come from another entry; their age counts from the read of the store. A response contains the
+ * newest record of each key only.
  */
 final class RecentPages {
     /** The maximum number of records kept, which are the reports of a large fleet in a second or more. */
@@ -25,12 +30,22 @@
     /** The maximum number of pages kept; a reader reads several in a second, and others are behind by seconds at most. */
     private static final int MAX_PAGES = 100;
 
+    /** The size from which a record is removed once there is a newer one of its key; many of them would fill the memory. */
+    private static final int MIN_LONG_RECORD_BYTES = 4 * 1024;
+
     private final Duration maxAge;
     private final Deque<Segment> segments = new ArrayDeque<>();
     private int recordCount;
     private Optional<Moment> provenAt = Optional.empty();
 
     private record Segment(FeedPosition from, FeedPage page) {
+        /** Returns the segment without long records of some keys. */
+        Segment without(Set<String> keys) {
+            List<FeedRecord> rest = new ArrayList<>(page.records());
+            boolean changed = rest.removeIf(r -> isLong(r) && keys.contains(r.key()));
+            return changed ? new Segment(from, new FeedPage(rest, page.next(), false)) : this;
+        }
+
         /** Returns the records from a position on; all of them if they do not each have an offset of their own. */
         List<FeedRecord> after(FeedPosition position) {
             List<FeedRecord> all = page.records();
@@ -62,6 +77,7 @@
         if (page.next().equals(from) && !segments.isEmpty()) {
             return;
         }
+        removeSuperseded(page);
         segments.addLast(new Segment(from, page));
         recordCount += page.records().size();
         while ((recordCount > MAX_RECORDS && segments.size() > 1) || segments.size() > MAX_PAGES) {
@@ -69,6 +85,25 @@
         }
     }
 
+    private static boolean isLong(FeedRecord r) {
+        return r.value().filter(v -> v.length >= MIN_LONG_RECORD_BYTES).isPresent();
+    }
+
+    /** Removes the long records whose keys have newer ones on a page. */
+    private void removeSuperseded(FeedPage page) {
+        Set<String> keys = page.records().stream()
+                .filter(RecentPages::isLong)
+                .map(FeedRecord::key)
+                .collect(Collectors.toSet());
+        if (keys.isEmpty()) {
+            return;
+        }
+        List<Segment> kept = segments.stream().map(s -> s.without(keys)).toList();
+        segments.clear();
+        segments.addAll(kept);
+        recordCount = kept.stream().mapToInt(s -> s.page().records().size()).sum();
+    }
+
     private void clear() {
         segments.clear();
         recordCount = 0;
@@ -93,7 +128,7 @@
         if (!available) {
             return Optional.empty();
         }
-        List<FeedRecord> result = new ArrayList<>();
+        Map<String, FeedRecord> result = new LinkedHashMap<>();
         FeedPosition next = from;
         for (Segment s : segments) {
             if (s.page().next().offset() <= from.offset()) {
@@ -101,11 +136,18 @@
             }
             List<FeedRecord> records = s.after(from);
             if (!result.isEmpty() && result.size() + records.size() > MAX_RECORDS_PER_RESPONSE) {
-                return Optional.of(new RelayedPage(new FeedPage(result, next, false), Optional.empty()));
+                return Optional.of(new RelayedPage(page(result, next), Optional.empty()));
+            }
+            for (FeedRecord r : records) {
+                result.remove(r.key());
+                result.put(r.key(), r);
             }
-            result.addAll(records);
             next = s.page().next();
         }
-        return Optional.of(new RelayedPage(new FeedPage(result, next, false), provenAt));
+        return Optional.of(new RelayedPage(page(result, next), provenAt));
+    }
+
+    private static FeedPage page(Map<String, FeedRecord> records, FeedPosition next) {
+        return new FeedPage(List.copyOf(records.values()), next, false);
     }
 }
--- a/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.baobabspindle.core.fleet.CallerLimits;
 import org.baobabspindle.core.fleet.FleetConfiguration;
 import org.baobabspindle.core.fleet.ServerRegistration;
@@ -95,6 +96,17 @@
         assertThat(table.configurationAge(at(5_000))).isEqualTo(Optional.of(Duration.ofSeconds(1)));
     }
 
+    /** A version that is replaced within a page is never in force; an invalid record leaves the one before it. */
+    @Test
+    void installsTheNewestValidVersionOfAPage() {
+        List<FeedRecord> page = Stream.of("7", "8", "half of a rec")
+                .map(t -> new FeedRecord("configuration", Optional.of(t.getBytes(StandardCharsets.UTF_8))))
+                .toList();
+        table.configurationRead(page, false, at(50), at(60));
+        assertThat(table.version()).isEqualTo(8);
+        assertThat(table.configurationAge(at(60))).isEqualTo(Optional.of(Duration.ofMillis(10)));
+    }
+
     @Test
     void lagCountsFromTheFirstNewerVersionThatIsStated() {
         List<Duration> lags = new ArrayList<>();
--- a/entry/src/test/java/org/baobabspindle/gateway/RecentPagesTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RecentPagesTests.java
@@ -162,6 +162,32 @@
         assertThat(answers).isEqualTo(10);
     }
 
+    /** Followers that are some versions behind would get all of them, and a long configuration fills their links. */
+    @Test
+    void returnsOnlyTheNewestRecordOfEachKey() {
+        add(at(10), page(10, 2), START);
+        FeedRecord newer = new FeedRecord("s10", Optional.of(new byte[] {2}));
+        add(at(12), new FeedPage(List.of(newer), at(13), false), START);
+        FeedPage result = after(at(10), START).orElseThrow();
+        assertThat(keys(result)).containsExactly("s11", "s10").inOrder();
+        assertThat(result.records().get(1)).isEqualTo(newer);
+        assertThat(result.next()).isEqualTo(at(13));
+    }
+
+    @Test
+    void keepsOnlyTheNewestOfLongRecordsButServesEveryPositionBeforeIt() {
+        for (int i = 0; i < 3; i++) {
+            FeedRecord longRecord = new FeedRecord("long", Optional.of(new byte[10_000 + i]));
+            add(at(i), new FeedPage(List.of(longRecord), at(i + 1), false), START);
+        }
+        for (int from = 0; from < 3; from++) {
+            FeedPage result = after(at(from), START).orElseThrow();
+            assertThat(result.records().get(0).value().orElseThrow()).hasLength(10_002);
+            assertThat(result.records()).hasSize(1);
+            assertThat(result.next()).isEqualTo(at(3));
+        }
+    }
+
     @Nested
     class MessageConversion {
         @Test
