--- a/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
@@ -6,6 +6,7 @@
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
 import org.baobabspindle.peer.PeerMessage;
+import org.baobabspindle.port.FeedRecord;
 
 /**
  * Follows the versions of the configuration that other entries state: confirms the own one, or fetches a newer one. One
@@ -25,7 +26,7 @@
 
     /** Requests the configuration of another entry; the future fails if it does not answer in time. */
     interface Source {
-        CompletableFuture<PeerMessage.ConfigurationAnswer> request(InstanceId from);
+        CompletableFuture<FeedRecord> request(InstanceId from);
     }
 
     ConfigurationUpdates(FleetTable fleet, Source source, GatewayClock clock, Runnable onInstalled) {
@@ -57,10 +58,10 @@
             }
             fetching = true;
         }
-        source.request(stated.by()).whenComplete((answer, failure) -> {
+        source.request(stated.by()).whenComplete((record, failure) -> {
             try {
                 if (failure == null) {
-                    fleet.configurationFromPeer(stated.by(), answer.key(), answer.text(), clock.now());
+                    fleet.configurationFromPeer(stated.by(), record, clock.now());
                     onInstalled.run();
                 }
             } finally {
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -1,6 +1,5 @@
 package org.baobabspindle.gateway;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Arrays;
@@ -42,13 +41,11 @@
     private final EvacuationTable evacuations;
     private final ServerTable servers = new ServerTable();
     private Optional<FleetConfiguration> configuration = Optional.empty();
-    private byte[] configurationBytes = new byte[0];
+    private Optional<FeedRecord> configurationRecord = Optional.empty();
 
     /** The version that the store had at the last read; -1 if it had none. */
     private long storedVersion = -1;
 
-    private String configurationKey = "";
-
     /** What was decoded last: the feed and several entries bring each version, the feed often after a later one. */
     private final Deque<Decoded> decoded = new ArrayDeque<>();
 
@@ -139,12 +136,12 @@
             if (decoded.size() > MAX_DECODED) {
                 decoded.removeLast();
             }
-            install(x, r.key(), r.value().orElseThrow(), source, now);
+            install(x, r, source, now);
         });
         return c.map(FleetConfiguration::version);
     }
 
-    private void install(FleetConfiguration c, String key, byte[] bytes, String source, Moment now) {
+    private void install(FleetConfiguration c, FeedRecord record, String source, Moment now) {
         if (configuration.isPresent() && c.version() <= configuration.get().version()) {
             return;
         }
@@ -160,14 +157,13 @@
                 "source",
                 source,
                 "bytes",
-                bytes.length,
+                record.value().orElseThrow().length,
                 "missingMs",
                 missingFor.map(Duration::toMillis).orElse(0L),
                 "confirmedMsAgo",
                 configurationAge(now).map(Duration::toMillis).orElse(-1L));
         configuration = Optional.of(c);
-        configurationKey = key;
-        configurationBytes = bytes;
+        configurationRecord = Optional.of(record);
         rebuildCatalog();
     }
 
@@ -203,9 +199,8 @@
     }
 
     /** Installs a configuration that another entry read from the store, if it is newer. */
-    synchronized void configurationFromPeer(InstanceId from, String key, String text, Moment now) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        install(new FeedRecord(key, Optional.of(bytes)), from.value(), now);
+    synchronized void configurationFromPeer(InstanceId from, FeedRecord record, Moment now) {
+        install(record, from.value(), now);
     }
 
     /** Applies a page of the list of backend servers; a snapshot also removes the servers that it does not contain. */
@@ -277,12 +272,9 @@
         return configuration.map(FleetConfiguration::version).orElse(-1L);
     }
 
-    synchronized String configurationKey() {
-        return configurationKey;
-    }
-
-    synchronized String configurationText() {
-        return new String(configurationBytes, StandardCharsets.UTF_8);
+    /** Returns the record of the configuration; empty if there is none yet. */
+    synchronized Optional<FeedRecord> configurationRecord() {
+        return configurationRecord;
     }
 
     /** Returns how long ago the configuration was last confirmed to be the newest one; empty if it never was. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -27,6 +27,7 @@
     private final EntryAnnouncement self;
     private final GatewayContext context;
     private final PeerMesh mesh;
+    private final ContentExchange contents;
     private final GroupKeeper keeper;
     private final BooleanSupplier ready;
     private final Runnable onConfigurationChanged;
@@ -54,6 +55,7 @@
             EntryAnnouncement self,
             GatewayContext context,
             PeerMesh mesh,
+            ContentExchange contents,
             GroupKeeper keeper,
             BooleanSupplier ready,
             Runnable onConfigurationChanged,
@@ -72,6 +74,7 @@
         this.self = self;
         this.context = context;
         this.mesh = mesh;
+        this.contents = contents;
         this.keeper = keeper;
         this.ready = ready;
         this.onConfigurationChanged = onConfigurationChanged;
@@ -222,9 +225,8 @@
             updateEvacuations(p.pulse(), Optional.empty(), now);
             withdrawReports(p.from().instance(), p.pulse());
             return new PeerMessage.PulseAnswer(localState().readableBy(mesh.provenProtocol(p.from())));
-        } else if (message instanceof PeerMessage.ConfigurationAsk) {
-            return new PeerMessage.ConfigurationAnswer(
-                    context.fleet().configurationKey(), context.fleet().configurationText());
+        } else if (message instanceof PeerMessage.ConfigurationAsk c) {
+            return contents.answer(c);
         } else if (message instanceof PeerMessage.CrashesTold c) {
             context.quarantine().receive(c.notices());
             return new PeerMessage.Noted();
@@ -262,7 +264,7 @@
         }
         Moment now = context.clock().now();
         return pages.serve(feed.get(), new FeedPosition(request.era(), request.from()), now)
-                .<PeerMessage>map(served -> StoreRecords.toMessage(served, now))
+                .<PeerMessage>map(served -> contents.answer(request, served, now))
                 .orElse(new PeerMessage.Failed("the feed is not followed here"));
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -106,6 +106,7 @@
     private final ReachabilityProber reachabilityProber;
     private final ShutdownState shutdown;
     private final EntryAnnouncement self;
+    private final ContentExchange contents;
     private final PeerMesh mesh;
     private final GatewayContext context;
     private final EvacuationMonitor evacuations;
@@ -143,7 +144,8 @@
         VersionMetrics.register(fleet, clock, metrics);
         shutdown = new ShutdownState(settings.bounds().gracePeriod());
         self = createAnnouncement();
-        mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, log);
+        contents = new ContentExchange(fleet::configurationRecord);
+        mesh = new PeerMesh(self, this::isPartitioned, peerWorkers, traffic, contents, log);
         surroundings = adaptation.apply(new EntryRelay.Surroundings(reachability, mesh));
         SplittableRandom random =
                 new SplittableRandom(System.nanoTime() ^ self.entry().hashCode());
@@ -170,19 +172,7 @@
         lease = createLease();
         reading.attach(StoreReading.stateOf(mesh, fleet, lease, store));
         keeper = new GroupKeeper(engines, settings, policy, lease, this::isPartitioned, clock, log, metrics);
-        gossip = new GatewayGossip(
-                self,
-                context,
-                mesh,
-                keeper,
-                this::isReady,
-                this::fleetChanged,
-                notices,
-                store::serve,
-                reading::storeAgeMillis,
-                headroom::value,
-                reading::isFollower,
-                this::isPartitioned);
+        gossip = createGossip(notices);
         suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
         gossip.setSuspicionListener(suspectProber::receiveSuspects);
         crashGuard.peers(gossip);
@@ -217,6 +207,23 @@
                 bodyBudget);
     }
 
+    private GatewayGossip createGossip(ServerNotices notices) {
+        return new GatewayGossip(
+                self,
+                context,
+                mesh,
+                contents,
+                keeper,
+                this::isReady,
+                this::fleetChanged,
+                notices,
+                store::serve,
+                reading::storeAgeMillis,
+                headroom::value,
+                reading::isFollower,
+                this::isPartitioned);
+    }
+
     private KeeperLease createLease() {
         Duration timeToLive =
                 Duration.ofMillis(Math.max(settings.minLeaseDuration().toMillis(), 1_300));
--- a/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/PeerMesh.java
@@ -80,6 +80,7 @@
     private final EntryAnnouncement self;
     private final BooleanSupplier partitioned;
     private final PeerClient client;
+    private final ContentExchange contents;
     private final EventLog log;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
     private long round;
@@ -125,7 +126,14 @@
         void stateReceived(EntryAnnouncement from, PeerMessage.Pulse pulse, Moment requestedAt, Moment now);
     }
 
-    PeerMesh(EntryAnnouncement self, BooleanSupplier partitioned, Executor workers, PeerTraffic traffic, EventLog log) {
+    PeerMesh(
+            EntryAnnouncement self,
+            BooleanSupplier partitioned,
+            Executor workers,
+            PeerTraffic traffic,
+            ContentExchange contents,
+            EventLog log) {
+        this.contents = contents;
         this.self = self;
         this.partitioned = partitioned;
         this.client = new PeerClient(self.entry(), this::secret, workers, traffic);
@@ -291,15 +299,19 @@
     }
 
     /** Requests the configuration of an entry; the future fails if the entry is not known or does not answer in time. */
-    CompletableFuture<PeerMessage.ConfigurationAnswer> requestConfiguration(InstanceId from) {
-        return peerAddress(from)
-                .map(a -> client.ask(a, new PeerMessage.ConfigurationAsk(), REQUEST_TIMEOUT))
-                .orElseGet(() -> CompletableFuture.failedFuture(new IOException("entry " + from + " is not known")))
-                .thenApply(PeerMessage.ConfigurationAnswer.class::cast);
+    CompletableFuture<FeedRecord> requestConfiguration(InstanceId from) {
+        Optional<Peer> peer = peer(from);
+        if (peer.isEmpty()) {
+            return CompletableFuture.failedFuture(new IOException("entry " + from + " is not known"));
+        }
+        boolean extensible = assumedProtocol(peer.get()).includes(PeerProtocol.EXTENSIBLE);
+        PeerMessage request = contents.requestConfiguration(extensible);
+        return client.ask(peer.get().entry.peerAddress(), request, REQUEST_TIMEOUT)
+                .thenApply(a -> contents.record((PeerMessage.ConfigurationAnswer) a));
     }
 
-    private synchronized Optional<PeerAddress> peerAddress(InstanceId entry) {
-        return Optional.ofNullable(peers.get(entry)).map(p -> p.entry.peerAddress());
+    private synchronized Optional<Peer> peer(InstanceId entry) {
+        return Optional.ofNullable(peers.get(entry));
     }
 
     /**
@@ -337,12 +349,11 @@
         Peer p = source.get();
         PeerProtocol protocol = assumedProtocol(p);
         boolean servesAll = servesAllFeeds(p);
-        PeerMessage request = servesAll
-                ? new PeerMessage.FeedAsk(feed.name(), from.era(), from.offset())
-                : new PeerMessage.ServersAsk(from.era(), from.offset());
+        ContentExchange.FeedRequest feedRequest = contents.request(feed, from);
+        PeerMessage request = servesAll ? feedRequest.message() : new PeerMessage.ServersAsk(from.era(), from.offset());
         return client.ask(p.entry.peerAddress(), request, READ_TIMEOUT).handle((answer, failure) -> {
             requestEnded(p, servesAll ? PeerProtocol.EXTENSIBLE : PeerProtocol.RATE_LIMITS, protocol, failure);
-            Optional<RelayedPage> page = page(feed, answer, requestedAt);
+            Optional<RelayedPage> page = page(feed, feedRequest, answer, requestedAt);
             if (page.isEmpty()) {
                 synchronized (this) {
                     p.source.readFailed(failure == null, clock.now());
@@ -353,9 +364,10 @@
     }
 
     /** Returns the page of an answer. An entry of an earlier release states no age, but serves no page above the maximum. */
-    private static Optional<RelayedPage> page(Feed feed, PeerMessage answer, Moment requestedAt) {
+    private static Optional<RelayedPage> page(
+            Feed feed, ContentExchange.FeedRequest request, PeerMessage answer, Moment requestedAt) {
         if (answer instanceof PeerMessage.FeedAnswer a) {
-            return Optional.of(StoreRecords.toPage(a, requestedAt));
+            return request.page(a, requestedAt);
         }
         if (answer instanceof PeerMessage.ServersAnswer a) {
             Moment provenAt = requestedAt.minus(FleetScaling.maxServedAge(feed));
--- a/entry/src/main/java/org/baobabspindle/gateway/StoreRecords.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/StoreRecords.java
@@ -24,11 +24,25 @@
                 encode(page.records()), page.next().era(), page.next().offset());
     }
 
-    /** Returns the answer with the age of the page; the age is as of the time at which it was computed. */
-    static PeerMessage.FeedAnswer toMessage(RelayedPage served, Moment now) {
+    /**
+     * Returns the answer with the age of the page; the age is as of the time at which it was computed.
+     *
+     * @param held the digest of a content that the receiver holds; empty if it does not read long contents
+     */
+    static PeerMessage.FeedAnswer toMessage(
+            RelayedPage served, Moment now, Optional<String> held, LongContents contents) {
         FeedPosition next = served.page().next();
         Long age = served.provenAt().map(at -> now.since(at).toMillis() + 1).orElse(null);
-        return new PeerMessage.FeedAnswer(encode(served.page().records()), next.era(), next.offset(), age);
+        List<FeedRecord> records = new ArrayList<>(served.page().records());
+        List<PeerMessage.LongContent> longContents = new ArrayList<>();
+        for (int i = 0; held.isPresent() && i < records.size(); i++) {
+            FeedRecord r = records.get(i);
+            if (r.value().filter(LongContents::isLong).isPresent()) {
+                longContents.add(contents.encode(i, r.value().get(), held.get()));
+                records.set(i, new FeedRecord(r.key(), Optional.of(new byte[0])));
+            }
+        }
+        return new PeerMessage.FeedAnswer(encode(records), next.era(), next.offset(), age, longContents);
     }
 
     static FeedPage toPage(PeerMessage.ServersAnswer answer) {
@@ -40,11 +54,26 @@
      * frozen is added to the age.
      *
      * @param requestedAt when the page was requested from the other entry
+     * @param held the content that this entry held then
+     * @throws LongContents.InvalidContentException if a content cannot be restored
      */
-    static RelayedPage toPage(PeerMessage.FeedAnswer answer, Moment requestedAt) {
+    static RelayedPage toPage(
+            PeerMessage.FeedAnswer answer, Moment requestedAt, Optional<byte[]> held, LongContents contents) {
         Optional<Moment> provenAt =
                 Optional.ofNullable(answer.ageMillis()).map(age -> requestedAt.minus(Duration.ofMillis(age)));
-        return new RelayedPage(toPage(answer.records(), answer.era(), answer.next()), provenAt);
+        FeedPage page = toPage(answer.records(), answer.era(), answer.next());
+        if (answer.longContents().isEmpty()) {
+            return new RelayedPage(page, provenAt);
+        }
+        List<FeedRecord> records = new ArrayList<>(page.records());
+        for (PeerMessage.LongContent c : answer.longContents()) {
+            if (c.index() < 0 || c.index() >= records.size()) {
+                throw new LongContents.InvalidContentException("no record " + c.index() + " of " + records.size());
+            }
+            String key = records.get(c.index()).key();
+            records.set(c.index(), new FeedRecord(key, Optional.of(contents.decode(c, held))));
+        }
+        return new RelayedPage(new FeedPage(records, page.next(), false), provenAt);
     }
 
     private static List<PeerMessage.StoreRecord> encode(List<FeedRecord> records) {
--- a/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
+++ b/entry/src/main/java/org/baobabspindle/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -383,16 +384,37 @@
      */
     record PulseAnswer(Pulse pulse) implements PeerMessage {}
 
-    /** Requests the configuration as it was read from the store. */
-    record ConfigurationAsk() implements PeerMessage {}
+    /**
+     * Requests the configuration as it was read from the store.
+     *
+     * @param held the digest of the content that the sender holds, which reads long contents; null, and not written, for an
+     *     entry of a release that does not know the field
+     */
+    record ConfigurationAsk(@JsonInclude(JsonInclude.Include.NON_NULL) String held) implements PeerMessage {}
 
     /**
      * The configuration as it was read from the store.
      *
      * @param key the key of the record
-     * @param text the content of the record
+     * @param text the content of the record; empty if it is in {@code content}
+     * @param content the content of the record if it is long; null, and not written, if it is in {@code text}
      */
-    record ConfigurationAnswer(String key, String text) implements PeerMessage {}
+    record ConfigurationAnswer(String key, String text, @JsonInclude(JsonInclude.Include.NON_NULL) LongContent content)
+            implements PeerMessage {}
+
+    /**
+     * A long content of a record, for an entry that has stated what it holds.
+     *
+     * @param index the position of the record in the message
+     * @param digest the SHA-256 hash of the content, in hexadecimal digits
+     * @param compressed the content in the zlib format; null, and not written, if the receiver holds it
+     */
+    record LongContent(int index, String digest, @JsonInclude(JsonInclude.Include.NON_NULL) ByteBuffer compressed) {
+        /** Rejects an absent digest. */
+        public LongContent {
+            Checks.require(digest != null, "digest must not be null");
+        }
+    }
 
     /**
      * Requests the records of backend servers from a position in the store on.
@@ -431,8 +453,10 @@
      * @param feed the name of the feed
      * @param era the era of the store in which the position is valid
      * @param from the position of the first record
+     * @param held the digest of a content that the sender holds, which reads long contents; empty if it holds none; null in
+     *     requests of earlier releases
      */
-    record FeedAsk(String feed, long era, long from) implements PeerMessage {}
+    record FeedAsk(String feed, long era, long from, String held) implements PeerMessage {}
 
     /**
      * The records of a feed of the store from the requested position on.
@@ -442,11 +466,20 @@
      * @param next the position after the last record
      * @param ageMillis the time since the store was asked and had no records after these, in milliseconds; null if more
      *     records are available at once
+     * @param longContents the contents that are empty in {@code records} because they are long; only for a sender that has
+     *     stated what it holds
      */
-    record FeedAnswer(List<StoreRecord> records, long era, long next, Long ageMillis) implements PeerMessage {
-        /** Copies the records; absent ones are empty. */
+    record FeedAnswer(
+            List<StoreRecord> records,
+            long era,
+            long next,
+            Long ageMillis,
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) List<LongContent> longContents)
+            implements PeerMessage {
+        /** Copies the records and contents; absent ones are empty. */
         public FeedAnswer {
             records = records == null ? List.of() : List.copyOf(records);
+            longContents = longContents == null ? List.of() : List.copyOf(longContents);
             Checks.require(ageMillis == null || ageMillis >= 0, "age must not be negative but was " + ageMillis);
         }
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
@@ -53,7 +53,8 @@
     }
 
     private void received(String text) {
-        table.configurationFromPeer(InstanceId.of("other"), "configuration", text, at(100));
+        FeedRecord record = new FeedRecord("configuration", Optional.of(text.getBytes(StandardCharsets.UTF_8)));
+        table.configurationFromPeer(InstanceId.of("other"), record, at(100));
     }
 
     @Test
@@ -62,7 +63,8 @@
         read("5", 10);
         received("6");
         assertThat(table.version()).isEqualTo(7);
-        assertThat(table.configurationText()).isEqualTo("7");
+        assertThat(table.configurationRecord().orElseThrow().value().orElseThrow())
+                .isEqualTo(new byte[] {'7'});
     }
 
     @Test
--- a/entry/src/test/java/org/baobabspindle/gateway/MixedReleaseTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/MixedReleaseTests.java
@@ -53,6 +53,7 @@
                 () -> false,
                 workers,
                 new PeerTraffic(),
+                new ContentExchange(Optional::empty),
                 new EventLog());
         private EarlierEntry earlier;
 
--- a/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/PeerMeshTests.java
@@ -53,7 +53,8 @@
     private final ExecutorService workers = Executors.newFixedThreadPool(4);
     private final PeerTraffic traffic = new PeerTraffic();
     private final AtomicBoolean partitioned = new AtomicBoolean();
-    private final PeerMesh mesh = new PeerMesh(SELF, partitioned::get, workers, traffic, new EventLog());
+    private final PeerMesh mesh = new PeerMesh(
+            SELF, partitioned::get, workers, traffic, new ContentExchange(Optional::empty), new EventLog());
     private final List<TestPeer> peers = new ArrayList<>();
 
     /** Another entry, which answers the exchange of state. */
--- a/entry/src/test/java/org/baobabspindle/gateway/RecentPagesTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/RecentPagesTests.java
@@ -18,6 +18,7 @@
 class RecentPagesTests {
     private static final Moment START = new Moment(0, 0);
 
+    private final LongContents contents = new LongContents();
     private final RecentPages recent = new RecentPages(Duration.ofSeconds(2));
 
     private static FeedPosition at(long offset) {
@@ -74,9 +75,9 @@
         add(at(10), page(10, 1), START);
         Moment later = START.plus(Duration.ofMillis(700));
         PeerMessage.FeedAnswer answer =
-                StoreRecords.toMessage(recent.after(at(10), later).orElseThrow(), later);
+                StoreRecords.toMessage(recent.after(at(10), later).orElseThrow(), later, Optional.empty(), contents);
         Moment requestedAt = later.minus(Duration.ofMillis(100));
-        RelayedPage received = StoreRecords.toPage(answer, requestedAt);
+        RelayedPage received = StoreRecords.toPage(answer, requestedAt, Optional.empty(), contents);
         assertThat(received.provenAt().orElseThrow().isBefore(START)).isTrue();
         assertThat(requestedAt.since(received.provenAt().orElseThrow())).isAtLeast(Duration.ofMillis(700));
     }
--- a/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
@@ -152,11 +152,21 @@
     }
 
     private static long bytes(PeerMessage.FeedAnswer answer) {
-        return answer.records().stream()
+        long records = answer.records().stream()
                 .mapToLong(r -> Math.max(
                         SERVER_RECORD_BYTES,
                         r.content() == null ? 0 : r.content().length()))
                 .sum();
+        return records
+                + answer.longContents().stream()
+                        .mapToLong(StoreReplay::contentBytes)
+                        .sum();
+    }
+
+    private static long contentBytes(PeerMessage.LongContent content) {
+        return content == null || content.compressed() == null
+                ? 0
+                : content.compressed().remaining();
     }
 
     private void called(StorePurpose purpose) {
@@ -273,6 +283,7 @@
                 (purpose, feed) -> called(purpose),
                 new UndecodedRecords());
         final FleetTable fleet = new FleetTable(log.configurations, new EventLog());
+        private final ContentExchange contents = new ContentExchange(fleet::configurationRecord);
         private final ConfigurationUpdates updates =
                 new ConfigurationUpdates(fleet, this::requestConfiguration, time, () -> {});
         long frozenUntil;
@@ -417,15 +428,16 @@
         }
 
         /** Requests the configuration of another entry, like {@link PeerMesh#requestConfiguration}. */
-        private CompletableFuture<PeerMessage.ConfigurationAnswer> requestConfiguration(InstanceId from) {
+        private CompletableFuture<FeedRecord> requestConfiguration(InstanceId from) {
             Entry other =
                     others.stream().filter(o -> o.id.equals(from)).findFirst().orElseThrow();
-            CompletableFuture<PeerMessage.ConfigurationAnswer> result = new CompletableFuture<>();
+            CompletableFuture<FeedRecord> result = new CompletableFuture<>();
             after(REQUEST_TIMEOUT_MILLIS, () -> result.completeExceptionally(new TimeoutException()));
+            PeerMessage.ConfigurationAsk request = contents.requestConfiguration(true);
             sendRequest(this, other, () -> {
-                PeerMessage.ConfigurationAnswer answer = new PeerMessage.ConfigurationAnswer(
-                        other.fleet.configurationKey(), other.fleet.configurationText());
-                sendAnswer(other, this, answer.text().length(), () -> result.complete(answer));
+                PeerMessage.ConfigurationAnswer answer = other.contents.answer(request);
+                long bytes = answer.text().length() + contentBytes(answer.content());
+                sendAnswer(other, this, bytes, () -> result.complete(contents.record(answer)));
             });
             return result;
         }
@@ -466,23 +478,24 @@
                     source(other).readFailed(false, time.now());
                 }
             });
+            ContentExchange.FeedRequest request = contents.request(feed, from);
             sendRequest(this, other, () -> {
-                Optional<PeerMessage.FeedAnswer> answer = other.serve(feed, from);
+                Optional<PeerMessage.FeedAnswer> answer = other.serve(feed, from, request.message());
                 sendAnswer(other, this, answer.map(StoreReplay::bytes).orElse(0L), () -> {
                     if (answer.isEmpty()) {
                         source(other).readFailed(true, time.now());
                     }
-                    result.complete(answer.map(a -> StoreRecords.toPage(a, requestedAt)));
+                    result.complete(answer.flatMap(a -> request.page(a, requestedAt)));
                 });
             });
             return result;
         }
 
-        private Optional<PeerMessage.FeedAnswer> serve(Feed feed, FeedPosition from) {
+        private Optional<PeerMessage.FeedAnswer> serve(Feed feed, FeedPosition from, PeerMessage.FeedAsk request) {
             Optional<RelayedPage> page = store.serve(feed, from, time.now());
             int records = page.map(p -> p.page().records().size()).orElse(0);
             recordsServed.merge(id + " " + time.millis() / 1_000, records, Integer::sum);
-            return page.map(p -> StoreRecords.toMessage(p, time.now()));
+            return page.map(p -> contents.answer(request, p, time.now()));
         }
 
         @Override
