--- a/entry/src/test/java/org/baobabspindle/gateway/SimulatedLinks.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/SimulatedLinks.java
@@ -30,28 +30,23 @@
         megabits.put(entry, capacity);
     }
 
-    /** Sends a message between entries and returns when it arrives, in milliseconds. */
-    long arrival(Object from, Object to, long size, long millis) {
-        double now = (double) millis;
+    /** Sends a message between entries. */
+    void send(StoreReplay.Time time, Object from, Object to, long size, Runnable arrived) {
         bytes += size;
-        double sent = occupy(sendingUntil, from, size, now);
-        return (long) Math.ceil(occupy(receivingUntil, to, size, Math.max(now, sent - duration(to, size))))
-                + LATENCY_MILLIS;
+        time.at(occupy(sendingUntil, from, size, time.millis()), () -> receive(time, to, size, arrived));
     }
 
-    /** Receives a message of the store, whose own link is no limit, and returns when it has arrived, in milliseconds. */
-    long arrivalFromStore(Object to, long size, long millis) {
-        return (long) Math.ceil(occupy(receivingUntil, to, size, (double) millis)) + LATENCY_MILLIS;
+    /** Receives a message that has reached the link of an entry; the one of the store is no limit. */
+    void receive(StoreReplay.Time time, Object to, long size, Runnable arrived) {
+        time.at(occupy(receivingUntil, to, size, time.millis()) + LATENCY_MILLIS, arrived);
     }
 
-    private double occupy(Map<Object, Double> until, Object entry, long size, double now) {
-        double end = Math.max(now, until.getOrDefault(entry, 0.0)) + duration(entry, size);
+    /** Occupies a direction of a link and returns when the message has passed. */
+    private long occupy(Map<Object, Double> until, Object entry, long size, long now) {
+        double duration = size * BITS_PER_BYTE / megabits.getOrDefault(entry, usualMegabits) / 1_000;
+        double end = Math.max((double) now, until.getOrDefault(entry, 0.0)) + duration;
         until.put(entry, end);
-        return end;
-    }
-
-    private double duration(Object entry, long size) {
-        return size * BITS_PER_BYTE / megabits.getOrDefault(entry, usualMegabits) / 1_000;
+        return (long) Math.ceil(end);
     }
 
     /** Returns the bytes that entries have sent to each other. */
--- a/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
@@ -131,7 +131,7 @@
 
     /** Sends a request, which is lost if its receiver cannot be reached or is frozen. */
     private void sendRequest(Entry from, Entry to, Runnable receive) {
-        time.at(links.arrival(from, to, STATE_BYTES, time.millis()), () -> {
+        links.send(time, from, to, STATE_BYTES, () -> {
             if (from.reaches(to)) {
                 receive.run();
             }
@@ -140,8 +140,7 @@
 
     /** Sends an answer; a receiver that is frozen processes it later. */
     private void sendAnswer(Entry from, Entry to, long bytes, Runnable receive) {
-        long now = time.millis();
-        to.after(links.arrival(from, to, bytes, now) - now, receive);
+        links.send(time, from, to, bytes, () -> to.after(0, receive));
     }
 
     private static long contentBytes(FeedPage page) {
@@ -543,8 +542,8 @@
         private void await(Supplier<Optional<FeedPage>> answer, long until, CompletableFuture<FeedPage> result) {
             Optional<FeedPage> value = answer.get();
             if (value.isPresent()) {
-                long arrival = links.arrivalFromStore(this, contentBytes(value.get()), time.millis());
-                after(arrival - time.millis(), () -> result.complete(value.get()));
+                links.receive(
+                        time, this, contentBytes(value.get()), () -> after(0, () -> result.complete(value.get())));
             } else {
                 time.at(Math.min(until, time.millis() + STORE_MILLIS), () -> await(answer, until, result));
             }
