--- a/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
@@ -37,16 +37,22 @@
     }
 
     /**
-     * Applies the state of another entry. The age in the state counts until the state was sent, which was not before this
-     * entry requested it.
+     * Applies the state in another entry's answer. The age in the state counts until the state was sent, which was not
+     * before this entry requested it.
      */
-    void stateReceived(InstanceId from, PeerMessage.Pulse state, Moment requestedAt, Moment now) {
+    void answerReceived(InstanceId from, PeerMessage.Pulse state, Moment requestedAt, Moment now) {
         long localVersion = fleet.version();
         if (state.versionAgeMillis() >= 0 && state.version() == localVersion) {
             fleet.confirmedByPeer(localVersion, requestedAt.minus(Duration.ofMillis(state.versionAgeMillis())));
-        } else if (state.version() > localVersion) {
-            fleet.newerVersionStated(state.version(), now);
-            fetch(new Stated(from, state.version()));
+        }
+        versionStated(from, state.version(), now);
+    }
+
+    /** Fetches the version that another entry follows if it is newer than the one of this entry. */
+    void versionStated(InstanceId by, long version, Moment now) {
+        if (version > fleet.version()) {
+            fleet.newerVersionStated(version, now);
+            fetch(new Stated(by, version));
         }
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -151,7 +151,7 @@
         context.dispatcher().updatePeerCounts(from.entry().instance(), pulse.loads(), pulse.unread(), now);
         updateEvacuations(pulse, Optional.of(requestedAt), now);
         context.dispatcher().answered(from.entry().instance(), requestedAt);
-        configuration.stateReceived(from.entry().instance(), pulse, requestedAt, now);
+        configuration.answerReceived(from.entry().instance(), pulse, requestedAt, now);
         notices.receiveLeaving(pulse.leaving());
         notices.receiveRateLimits(pulse.limits());
         notices.receiveCold(pulse.cold());
@@ -223,6 +223,7 @@
                     .updatePeerCounts(
                             p.from().instance(), p.pulse().loads(), p.pulse().unread(), now);
             updateEvacuations(p.pulse(), Optional.empty(), now);
+            configuration.versionStated(p.from().instance(), p.pulse().version(), now);
             withdrawReports(p.from().instance(), p.pulse());
             return new PeerMessage.PulseAnswer(localState().readableBy(mesh.provenProtocol(p.from())));
         } else if (message instanceof PeerMessage.ConfigurationAsk c) {
--- a/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
@@ -415,11 +415,12 @@
                 Moment requestedAt = time.now();
                 sendRequest(this, other, () -> {
                     other.source(this).update(own);
+                    other.updates.versionStated(id, own.version(), time.now());
                     PeerMessage.Pulse answer = other.pulse();
                     sendAnswer(other, this, STATE_BYTES, () -> {
                         lastResponses.put(other, time.now());
                         source(other).update(answer);
-                        updates.stateReceived(other.id, answer, requestedAt, time.now());
+                        updates.answerReceived(other.id, answer, requestedAt, time.now());
                     });
                 });
             }
