--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -71,6 +71,7 @@
             "Fault-At");
 
     private static final String PUBLISHED_PREFIX = "published ";
+    private static final String VERSION_PREFIX = "version ";
     private static final String EVACUATION_PREFIX = "evacuate ";
     private static final String MALFORMED = "half of a rec";
 
@@ -199,7 +200,13 @@
     /** Publishes a later version of the configuration. */
     void configure(FleetConfiguration later) {
         configuration = later;
-        configurationRecords.add(new FeedRecord("configuration", Optional.of(new byte[1])));
+        configurationRecords.add(configurationRecord());
+    }
+
+    /** Returns the record of the current configuration, whose content differs from that of any other version. */
+    private FeedRecord configurationRecord() {
+        String value = VERSION_PREFIX + configuration.version();
+        return new FeedRecord("configuration", Optional.of(value.getBytes(StandardCharsets.UTF_8)));
     }
 
     /** Publishes versions of the configuration at once; the store keeps the last one. For a single entry only. */
@@ -462,7 +469,7 @@
     public CompletableFuture<FeedPage> readLatest(Feed feed) {
         List<FeedRecord> records = new ArrayList<>();
         if (feed == Feed.CONFIGURATION) {
-            records.add(new FeedRecord("configuration", Optional.of(new byte[1])));
+            records.add(configurationRecord());
             evacuated.forEach(z -> records.add(new FeedRecord(EVACUATION_PREFIX + z, Optional.of(new byte[1]))));
         } else if (feed == Feed.BACKEND_SERVERS) {
             servers.forEach(s -> records.add(new FeedRecord(s.id().value(), Optional.of(new byte[1]))));
@@ -542,13 +549,11 @@
             return Optional.empty();
         }
         String value = new String(record.value().orElseThrow(), StandardCharsets.UTF_8);
-        if (value.equals(MALFORMED)) {
-            return Optional.empty();
+        if (value.startsWith(PUBLISHED_PREFIX)) {
+            return Optional.of(published.get(Integer.parseInt(value.substring(PUBLISHED_PREFIX.length()))));
         }
-        return Optional.of(
-                value.startsWith(PUBLISHED_PREFIX)
-                        ? published.get(Integer.parseInt(value.substring(PUBLISHED_PREFIX.length())))
-                        : configuration);
+        // Another entry may send a version before it is published here.
+        return Optional.of(configuration).filter(c -> value.equals(VERSION_PREFIX + c.version()));
     }
 
     @Override
