--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -118,6 +118,9 @@
 
     /** Checks whether this entry may send an admitted request, and can send it in time. */
     Optional<Refusal> checkDispatch(Moment now) {
+        if (context.fleet().isBehindCallers()) {
+            return Optional.of(Refusal.CONFIGURATION_STALE);
+        }
         Optional<Refusal> refusal = checkQuarantine(now);
         if (refusal.isPresent()) {
             return refusal;
@@ -192,14 +195,15 @@
     }
 
     /**
-     * Returns a permanent refusal only if the configuration is known to be recent; a newer one may allow the request.
+     * Returns a permanent refusal only if the configuration is known to be recent, and no newer one has been shown to
+     * callers; a newer one may allow the request.
      */
     private Refusal denial(Refusal refusal, Moment now) {
         boolean recent = context.fleet()
                 .configurationAge(now)
                 .filter(a -> a.compareTo(GatewayContext.MAX_DENIAL_AGE) <= 0)
                 .isPresent();
-        return recent ? refusal : Refusal.CONFIGURATION_STALE;
+        return recent && !context.fleet().isBehindCallers() ? refusal : Refusal.CONFIGURATION_STALE;
     }
 
     private Duration timeout(Route r) {
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerExchange.java
@@ -59,6 +59,7 @@
         this.response = new CallerResponse(
                 context,
                 response,
+                admission.relayed(),
                 new CallerResponseWriter(response, done, () -> callerDisconnected("writing failed")));
     }
 
@@ -478,7 +479,7 @@
             logOutcome("cut", cause + ": " + reason, response.status(), now);
             return;
         }
-        response.refuse(refusal, admission.retryAfter().or(() -> retryAfterOfEntry), admission.relayed());
+        response.refuse(refusal, admission.retryAfter().or(() -> retryAfterOfEntry));
         logOutcome("refused", cause + (reason.isEmpty() ? "" : ": " + reason), refusal.status(), now);
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/CallerResponse.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerResponse.java
@@ -19,6 +19,10 @@
     private final GatewayContext context;
     private final Response response;
     private final CallerResponseWriter writer;
+
+    /** Whether another entry relays the request. */
+    private final boolean relayed;
+
     private final HttpVersion callerVersion;
     private final Framing streamFraming;
 
@@ -34,8 +38,9 @@
     private long lastEventId = -1;
     private long lastEventOfCaller = -1;
 
-    CallerResponse(GatewayContext context, Response response, CallerResponseWriter out) {
+    CallerResponse(GatewayContext context, Response response, boolean relayed, CallerResponseWriter out) {
         this.context = context;
+        this.relayed = relayed;
         this.response = response;
         this.callerVersion = response.getRequest().getConnectionMetaData().getHttpVersion();
         this.streamFraming = Framing.ofUnknownLength(callerVersion);
@@ -167,9 +172,20 @@
         headSent = true;
         response.setStatus(status);
         ResponseHeaders.copyEndToEnd(headers, response.getHeaders());
+        stateVersion();
         closeIfStopping();
     }
 
+    /** States to an entry that relays the request which version its answer shows. */
+    private void stateVersion() {
+        if (relayed) {
+            response.getHeaders()
+                    .put(
+                            RelayMark.VERSION_HEADER,
+                            String.valueOf(context.fleet().version()));
+        }
+    }
+
     private void closeIfStopping() {
         if (context.stopping().inProgress()) {
             closesConnection = true;
@@ -181,12 +197,12 @@
      * Sends a refusal by this entry.
      *
      * @param retryAfter the time after which the caller may retry; empty if it is unknown
-     * @param relayed whether another entry relays the request
      */
-    void refuse(Refusal refusal, Optional<Duration> retryAfter, boolean relayed) {
+    void refuse(Refusal refusal, Optional<Duration> retryAfter) {
         if (relayed) {
             response.getHeaders().put(RelayMark.REFUSAL_HEADER, refusal.nameForEntries());
         }
+        stateVersion();
         response.setStatus(refusal.status());
         if (refusal.retryable()) {
             response.getHeaders().put("Retry-After", context.retryAfter(refusal, retryAfter));
--- a/entry/src/main/java/org/baobabspindle/gateway/EntryDestination.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryDestination.java
@@ -61,7 +61,12 @@
     @Override
     public boolean headReceived(int status, HttpFields headers, Attribution attribution, boolean named, Moment now) {
         boolean refusal = RelayMark.refusal(headers).isPresent();
-        return attribution == Attribution.NAMED || (attribution != Attribution.FOREIGN && (refusal || !named));
+        boolean belongs =
+                attribution == Attribution.NAMED || (attribution != Attribution.FOREIGN && (refusal || !named));
+        if (belongs) {
+            RelayMark.version(headers).ifPresent(v -> context.relay().versionShown(id(), v, now));
+        }
+        return belongs;
     }
 
     /** Entries frame all responses; builds before that sent streams without framing, also those that were cut. */
--- a/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/EntryRelay.java
@@ -15,6 +15,12 @@
     private final PeerSecret secret;
     private final Map<InstanceId, Integer> outstanding = new ConcurrentHashMap<>();
     private final Set<InstanceId> moveTargets = ConcurrentHashMap.newKeySet();
+    private volatile VersionListener versionListener = (by, version, now) -> {};
+
+    /** Receives the versions of the configuration that answers to relayed requests show to callers. */
+    interface VersionListener {
+        void versionShown(InstanceId by, long version, Moment now);
+    }
 
     /**
      * What an entry relays between.
@@ -34,6 +40,15 @@
         this.secret = secret;
     }
 
+    void setVersionListener(VersionListener listener) {
+        versionListener = listener;
+    }
+
+    /** An entry has answered a relayed request by a version of the configuration. */
+    void versionShown(InstanceId by, long version, Moment now) {
+        versionListener.versionShown(by, version, now);
+    }
+
     BackendLink link() {
         return surroundings.link();
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -55,6 +55,7 @@
     private Optional<Listing> listing = Optional.empty();
     private Set<BackendServer.Lifetime> leaving = Set.of();
     private final VersionLag lag = new VersionLag();
+    private long minVersion = -1;
     private Consumer<Duration> onInstalled = lagged -> {};
     private boolean serversRead;
     private long serversEra;
@@ -193,6 +194,21 @@
         }
     }
 
+    /** Callers of this entry have seen the effect of a version, perhaps through another entry. */
+    synchronized void versionShown(long version) {
+        minVersion = Math.max(minVersion, version);
+    }
+
+    /** Returns the version behind which this entry must not go back for its callers. */
+    synchronized long minVersion() {
+        return Math.max(minVersion, version());
+    }
+
+    /** Returns whether callers of this entry have seen the effect of a version that it does not have yet. */
+    synchronized boolean isBehindCallers() {
+        return minVersion > version();
+    }
+
     /** Returns for how long this entry has known that there is a newer version; zero if it knows of none. */
     synchronized Duration versionLag(Moment now) {
         return lag.current(now);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -86,6 +86,12 @@
         suspicionListener = listener;
     }
 
+    /** Another entry has shown a version to a caller of this one, which must not go back behind it. */
+    void versionShown(InstanceId by, long version, Moment now) {
+        context.fleet().versionShown(version);
+        configuration.versionStated(by, version, now);
+    }
+
     private PeerMessage.Pulse localState() {
         Moment now = context.clock().now();
         return new PeerMessage.Pulse(
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayNode.java
@@ -173,6 +173,7 @@
         reading.attach(StoreReading.stateOf(mesh, fleet, lease, store));
         keeper = new GroupKeeper(engines, settings, policy, lease, this::isPartitioned, clock, log, metrics);
         gossip = createGossip(notices);
+        context.relay().setVersionListener(gossip::versionShown);
         suspectProber = new SuspectGroupProber(context, engines, gossip::broadcastSuspects, log);
         gossip.setSuspicionListener(suspectProber::receiveSuspects);
         crashGuard.peers(gossip);
--- a/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/Refusal.java
@@ -7,8 +7,8 @@
     /** The configuration is not proven recent enough to accept API keys. */
     KEYS_UNPROVEN(503),
     /**
-     * The key or route is unknown, but the configuration is not proven recent enough to reject it permanently; or the
-     * entry that relays the request follows a later one.
+     * The key or route is unknown, but the configuration is not proven recent enough to reject it permanently; or
+     * callers, or the entry that relays the request, have seen a later one.
      */
     CONFIGURATION_STALE(503),
     /** No route matches. */
--- a/entry/src/main/java/org/baobabspindle/gateway/RelayMark.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RelayMark.java
@@ -1,6 +1,7 @@
 package org.baobabspindle.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.baobabspindle.peer.PeerSecret;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -10,7 +11,8 @@
  *
  * @param attempts the number of backend servers that may still run the request
  * @param stage how far the first entry has come with the request
- * @param version the version of the configuration that the first entry follows; an older one may no longer apply
+ * @param version the version of the configuration that the first entry follows or has shown to its callers; an older one may
+ *     no longer apply
  */
 record RelayMark(int attempts, Stage stage, long version) {
     /** How far the first entry has come with the request. */
@@ -29,6 +31,19 @@
     /** The response header by which an entry states why it refuses a relayed request: the name of the refusal. */
     static final String REFUSAL_HEADER = "Entry-Refusal";
 
+    /** The response header by which an entry states which version of the configuration it follows, to the one that relays. */
+    static final String VERSION_HEADER = "Entry-Version";
+
+    /** Returns the version that the entry follows that has answered a relayed request; empty if it does not state it. */
+    static OptionalLong version(HttpFields headers) {
+        try {
+            String text = headers.get(VERSION_HEADER);
+            return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
     /** Returns the mark of a request; empty if it has none or the signature is invalid. */
     static Optional<RelayMark> of(HttpFields headers, String requestId, PeerSecret secret) {
         String text = headers.get(HEADER);
--- a/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/RequestProgress.java
@@ -190,7 +190,7 @@
         if (hasBeenSent()) {
             context.relay().requestMoved(entry.entry().instance());
         }
-        RelayMark mark = new RelayMark(1, stage(responseBegun), context.fleet().version());
+        RelayMark mark = new RelayMark(1, stage(responseBegun), context.fleet().minVersion());
         return new EntryDestination(context, entry, mark);
     }
 
--- a/entry/src/main/java/org/baobabspindle/gateway/ResponseHeaders.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ResponseHeaders.java
@@ -19,7 +19,8 @@
             "retry-after",
             "date",
             "server",
-            RelayMark.REFUSAL_HEADER.toLowerCase(Locale.ROOT));
+            RelayMark.REFUSAL_HEADER.toLowerCase(Locale.ROOT),
+            RelayMark.VERSION_HEADER.toLowerCase(Locale.ROOT));
 
     private ResponseHeaders() {}
 
