--- a/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerAdmission.java
@@ -201,7 +201,7 @@
     private Refusal denial(Refusal refusal, Moment now) {
         boolean recent = context.fleet()
                 .configurationAge(now)
-                .filter(a -> a.compareTo(GatewayContext.MAX_DENIAL_AGE) <= 0)
+                .filter(a -> a.compareTo(context.maxDenialAge()) <= 0)
                 .isPresent();
         return recent && !context.fleet().isBehindCallers() ? refusal : Refusal.CONFIGURATION_STALE;
     }
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayContext.java
@@ -17,10 +17,13 @@
 /** The state and services that all requests of callers share. */
 final class GatewayContext {
     /**
-     * The maximum age of the configuration at which this entry reports that a key or route does not exist. Twice the
-     * wait of a read, so that a single lost read has no effect.
+     * The maximum age of the configuration at which this entry reports that a key or route does not exist, where the
+     * operator states no bound. Twice the wait of a read, so that a single lost read has no effect.
      */
-    static final Duration MAX_DENIAL_AGE = Duration.ofMillis(2_600);
+    static final Duration DEFAULT_MAX_DENIAL_AGE = Duration.ofMillis(2_600);
+
+    /** Subtracted from the time for which an older configuration may be in force, for clock drift. */
+    private static final Duration DENIAL_MARGIN = Duration.ofMillis(100);
 
     /**
      * Subtracted from the time that a removed key may be used, for network delay to the backend server and clock drift.
@@ -39,6 +42,7 @@
     private final IntSupplier entryCount;
     private final ToIntFunction<Moment> dispatchingEntryCount;
     private final Duration keyLifetime;
+    private final Duration maxDenialAge;
     private final ServerNotices notices;
     private final ReachabilityMonitor reachability;
     private final CrashGuard quarantine;
@@ -81,6 +85,10 @@
         this.entryCount = entries;
         this.dispatchingEntryCount = dispatchingEntries;
         this.bodyBudget = bodyBudget;
+        this.maxDenialAge = bounds.maxConfigurationDelay()
+                .map(d -> d.minus(DENIAL_MARGIN))
+                .filter(d -> d.compareTo(DEFAULT_MAX_DENIAL_AGE) < 0)
+                .orElse(DEFAULT_MAX_DENIAL_AGE);
         this.keyLifetime = bounds.maxRevocationDelay().minus(KEY_MARGIN);
     }
 
@@ -155,6 +163,11 @@
         return keyLifetime;
     }
 
+    /** Returns the maximum age of the configuration at which this entry reports that a key or route does not exist. */
+    Duration maxDenialAge() {
+        return maxDenialAge;
+    }
+
     void started(CallerExchange exchange) {
         active.add(exchange);
     }
--- a/entry/src/main/java/org/baobabspindle/port/GatewaySettings.java
+++ b/entry/src/main/java/org/baobabspindle/port/GatewaySettings.java
@@ -103,6 +103,8 @@
      * @param maxDirectoryLifetime the maximum time for which callers may cache addresses
      * @param maxEvacuationDelay the maximum time after the acknowledgement of the evacuation of an availability zone for
      *     which requests may still reach backend servers there; empty for the default
+     * @param maxConfigurationDelay the maximum time after the acknowledgement of a configuration for which an older one may
+     *     be in force; empty for the default
      * @param coldOverage the factor by which requests to a cold server may exceed what it handles
      * @param coldSlack the further requests to a cold server that are allowed in any second
      */
@@ -118,6 +120,7 @@
             double maxLoadFactor,
             Duration maxDirectoryLifetime,
             Optional<Duration> maxEvacuationDelay,
+            Optional<Duration> maxConfigurationDelay,
             double coldOverage,
             double coldSlack) {
         /** Validates the bounds of requests to cold servers. */
--- a/entry/src/test/java/org/baobabspindle/gateway/ConfigurationDuringRequestTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/ConfigurationDuringRequestTests.java
@@ -122,7 +122,7 @@
         void bodyThatALaterConfigurationMayAllowIsNotDenied() throws Exception {
             start(LONG_TIMEOUT, SMALL_LIMIT, ConfigurationDuringRequestTests.this::answer);
             platform.failReads(Feed.CONFIGURATION, true);
-            Thread.sleep(GatewayContext.MAX_DENIAL_AGE.plusMillis(1_500).toMillis());
+            Thread.sleep(GatewayContext.DEFAULT_MAX_DENIAL_AGE.plusMillis(1_500).toMillis());
             try (SlowUpload upload = new SlowUpload(LARGE_LIMIT)) {
                 assertThat(upload.finish().status()).isEqualTo(503);
             }
@@ -130,6 +130,29 @@
         }
     }
 
+    @Nested
+    class Denials {
+        /** Later the operator may have added the key, and an older version must no longer be in force. */
+        @Test
+        void unknownKeyIsNotDeniedOnceAnOlderVersionMayNotBeInForce() throws Exception {
+            Duration bound = Duration.ofMillis(1_800);
+            platform = new FakePlatform(configuration(), List.of());
+            platform.setMaxConfigurationDelay(bound);
+            node = GatewayNode.open(platform);
+            await(() -> status(platform.readinessUrl()) == 200);
+            platform.failReads(Feed.CONFIGURATION, true);
+            await(() -> node.context()
+                            .fleet()
+                            .configurationAge(node.context().clock().now())
+                            .orElseThrow()
+                            .compareTo(bound)
+                    > 0);
+            HttpResponse<String> response = http.send(
+                    request("/safe/x").setHeader("Key", "c-key").GET().build(), HttpResponse.BodyHandlers.ofString());
+            assertThat(response.statusCode()).isEqualTo(503);
+        }
+    }
+
     @Nested
     class Timeouts {
         @Test
--- a/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FakePlatform.java
@@ -112,6 +112,7 @@
     private volatile long firstEraOfOffsets;
     private volatile boolean firstStart = true;
     private volatile boolean storeDown;
+    private volatile Optional<Duration> maxConfigurationDelay = Optional.empty();
 
     /** An order that was sent to an engine. */
     record SentOrder(InstanceId engine, Class<? extends EngineOrder> kind) {}
@@ -197,6 +198,11 @@
         }
     }
 
+    /** Sets the time for which an older configuration may be in force, before the entry starts. */
+    void setMaxConfigurationDelay(Duration delay) {
+        maxConfigurationDelay = Optional.of(delay);
+    }
+
     /** Publishes a later version of the configuration. */
     void configure(FleetConfiguration later) {
         configuration = later;
@@ -421,6 +427,7 @@
                         1.1,
                         Duration.ofSeconds(5),
                         Optional.empty(),
+                        maxConfigurationDelay,
                         1.5,
                         5),
                 1,
