--- a/review/standins/Operator.java
+++ b/review/standins/Operator.java
@@ -4,9 +4,13 @@
 import java.util.List;
 import java.util.Random;
 
-/** Writes versions of the configuration; time-outs, weights, one route and one key change, what callers need stays. */
+/**
+ * Writes versions of the configuration; time-outs, weights, one route and one key change, what callers need stays. Some
+ * versions have many further routes, which nobody requests.
+ */
 final class Operator {
     static final String EXTRA_KEY = "k9extra4zs989anu6wsjn";
+    private static final int FURTHER_ROUTES = 1_400;
     private static final double APPLY_SECONDS = 2;
     private static final double REVOKE_SECONDS = 5;
 
@@ -79,6 +83,10 @@
         if (route.present) {
             routes.add(Deployment.streamRoute("r-extra", "/extra/", streamMillis, streamAttempts, "pool", true));
         }
+        // Follows from the version, so that the draws of a seed stay as they are.
+        for (int i = 0; version % 3 == 0 && i < FURTHER_ROUTES; i++) {
+            routes.add(plain("further" + i, "safe"));
+        }
         deployment.configure(
                 version,
                 String.join(",", routes),
