--- a/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.baobabspindle.core.id.InstanceId;
 import org.baobabspindle.core.time.Moment;
+import org.baobabspindle.logging.EventLog;
 import org.baobabspindle.peer.PeerMessage;
 import org.baobabspindle.port.FeedRecord;
 
@@ -17,6 +18,7 @@
     private final Source source;
     private final GatewayClock clock;
     private final Runnable onInstalled;
+    private final EventLog log;
     private boolean fetching;
 
     /** The newest version that was stated while a transfer was in progress, and where it is followed. */
@@ -29,11 +31,12 @@
         CompletableFuture<FeedRecord> request(InstanceId from);
     }
 
-    ConfigurationUpdates(FleetTable fleet, Source source, GatewayClock clock, Runnable onInstalled) {
+    ConfigurationUpdates(FleetTable fleet, Source source, GatewayClock clock, Runnable onInstalled, EventLog log) {
         this.fleet = fleet;
         this.source = source;
         this.clock = clock;
         this.onInstalled = onInstalled;
+        this.log = log;
     }
 
     /**
@@ -69,6 +72,9 @@
                 if (failure == null) {
                     fleet.configurationFromPeer(stated.by(), record, clock.now());
                     onInstalled.run();
+                } else {
+                    String reason = "could not fetch a newer version: " + failure;
+                    log.write("configuration", reason, "version", stated.version(), "entry", stated.by());
                 }
             } finally {
                 takeNext().filter(n -> n.version() > fleet.version()).ifPresent(this::fetch);
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -79,7 +79,7 @@
         this.ready = ready;
         this.onConfigurationChanged = onConfigurationChanged;
         this.configuration = new ConfigurationUpdates(
-                context.fleet(), mesh::requestConfiguration, context.clock(), onConfigurationChanged);
+                context.fleet(), mesh::requestConfiguration, context.clock(), onConfigurationChanged, context.log());
     }
 
     void setSuspicionListener(SuspicionListener listener) {
--- a/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/StoreReplay.java
@@ -284,7 +284,7 @@
         final FleetTable fleet = new FleetTable(log.configurations, new EventLog());
         private final ContentExchange contents = new ContentExchange(fleet::configurationRecord);
         private final ConfigurationUpdates updates =
-                new ConfigurationUpdates(fleet, this::requestConfiguration, time, () -> {});
+                new ConfigurationUpdates(fleet, this::requestConfiguration, time, () -> {}, new EventLog());
         long frozenUntil;
         private boolean cutFromStore;
         private final List<Entry> others = new ArrayList<>();
