--- a/review/standins/FaultSoak.java
+++ b/review/standins/FaultSoak.java
@@ -94,7 +94,9 @@
         operator.write();
         deployment.setStallMillis(pace.stallMillis());
         streams = new StreamSoak(deployment, record, operator, this);
-        for (int i = 0; i < setting.entries(); i++) {
+        String entries = System.getenv("ENTRIES");
+        int count = entries == null ? setting.entries() : Integer.parseInt(entries);
+        for (int i = 0; i < count; i++) {
             Deployment.Entry e = deployment.startEntry("entry-" + i);
             serving.put(e.name(), e);
             disturbances.put(e.name(), new Disturbances());
