--- a/entry/src/main/java/org/baobabspindle/gateway/CallerResponse.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/CallerResponse.java
@@ -202,10 +202,11 @@
         if (relayed) {
             response.getHeaders().put(RelayMark.REFUSAL_HEADER, refusal.nameForEntries());
         }
-        stateVersion();
         response.setStatus(refusal.status());
         if (refusal.retryable()) {
             response.getHeaders().put("Retry-After", context.retryAfter(refusal, retryAfter));
+        } else {
+            stateVersion();
         }
         closeIfStopping();
         response.getHeaders().put("Content-Length", 0L);
