--- a/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/ConfigurationUpdates.java
@@ -67,7 +67,7 @@
             }
             fetching = true;
         }
-        source.request(stated.by()).whenComplete((record, failure) -> {
+        request(stated.by()).whenComplete((record, failure) -> {
             try {
                 if (failure == null) {
                     fleet.configurationFromPeer(stated.by(), record, clock.now());
@@ -82,6 +82,14 @@
         });
     }
 
+    private CompletableFuture<FeedRecord> request(InstanceId from) {
+        try {
+            return source.request(from);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     private synchronized Optional<Stated> takeNext() {
         Optional<Stated> taken = next;
         next = Optional.empty();
--- a/entry/src/test/java/org/baobabspindle/gateway/ConfigurationUpdatesTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/ConfigurationUpdatesTests.java
@@ -19,11 +19,15 @@
 
     private final SimulatedConfigurations configurations = new SimulatedConfigurations();
     private final FleetTable fleet = new FleetTable(configurations, new EventLog());
+    private boolean failToAsk;
     private final List<InstanceId> asked = new ArrayList<>();
     private final List<CompletableFuture<FeedRecord>> transfers = new ArrayList<>();
     private final ConfigurationUpdates updates = new ConfigurationUpdates(
             fleet,
             from -> {
+                if (failToAsk) {
+                    throw new IllegalStateException("no entry is announced at this address");
+                }
                 asked.add(from);
                 transfers.add(new CompletableFuture<>());
                 return transfers.get(transfers.size() - 1);
@@ -80,6 +84,15 @@
         assertThat(asked).hasSize(3);
     }
 
+    @Test
+    void entryThatCannotBeAskedDoesNotEndFetching() {
+        failToAsk = true;
+        stated("a", 3);
+        failToAsk = false;
+        stated("b", 3);
+        assertThat(asked).containsExactly(InstanceId.of("b"));
+    }
+
     @Test
     void doesNotFetchWhatIsFollowedAlready() {
         fleet.configurationFromPeer(InstanceId.of("a"), version(3), NOW);
