--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -55,7 +55,11 @@
     private Optional<Listing> listing = Optional.empty();
     private Set<BackendServer.Lifetime> leaving = Set.of();
     private final VersionLag lag = new VersionLag();
+
+    /** The newest version that callers of this entry have seen; -1 if they have seen none through other entries. */
     private long minVersion = -1;
+
+    private Moment minVersionSince = new Moment(0, 0);
     private Consumer<Duration> onInstalled = lagged -> {};
     private boolean serversRead;
     private long serversEra;
@@ -172,6 +176,10 @@
         if (confirmedAt.isEmpty() || confirmedAt.get().isBefore(requestedAt)) {
             confirmedAt = Optional.of(requestedAt);
         }
+        // A store that was restored from an older copy may have lost the version that was shown.
+        if (isBehindCallers() && minVersionSince.isBefore(requestedAt)) {
+            minVersion = version();
+        }
     }
 
     /**
@@ -194,9 +202,12 @@
         }
     }
 
-    /** Callers of this entry have seen the effect of a version, perhaps through another entry. */
-    synchronized void versionShown(long version) {
-        minVersion = Math.max(minVersion, version);
+    /** Callers of this entry have seen the effect of a version through another entry. */
+    synchronized void versionShown(long version, Moment now) {
+        if (version > minVersion) {
+            minVersion = version;
+            minVersionSince = now;
+        }
     }
 
     /** Returns the version behind which this entry must not go back for its callers. */
--- a/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/GatewayGossip.java
@@ -88,7 +88,7 @@
 
     /** Another entry has shown a version to a caller of this one, which must not go back behind it. */
     void versionShown(InstanceId by, long version, Moment now) {
-        context.fleet().versionShown(version);
+        context.fleet().versionShown(version, now);
         configuration.versionStated(by, version, now);
     }
 
--- a/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/FleetTableTests.java
@@ -109,6 +109,20 @@
         assertThat(table.configurationAge(at(60))).isEqualTo(Optional.of(Duration.ofMillis(10)));
     }
 
+    /** The entry would refuse all requests for good, as nobody has the version any more. */
+    @Test
+    void versionThatTheStoreHasLostIsNotAwaited() {
+        read("7", 0);
+        table.versionShown(9, at(100));
+        assertThat(table.isBehindCallers()).isTrue();
+        read("7", 100);
+        assertThat(table.isBehindCallers()).isTrue();
+        assertThat(table.minVersion()).isEqualTo(9);
+        read("7", 200);
+        assertThat(table.isBehindCallers()).isFalse();
+        assertThat(table.minVersion()).isEqualTo(7);
+    }
+
     @Test
     void lagCountsFromTheFirstNewerVersionThatIsStated() {
         List<Duration> lags = new ArrayList<>();
