--- a/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
+++ b/entry/src/main/java/org/baobabspindle/gateway/FleetTable.java
@@ -34,6 +34,7 @@
  * The view of the fleet of this entry: the current configuration, when it was last confirmed, and the backend servers.
  */
 final class FleetTable {
+    /** The number of decoded records kept; a long one has some hundred kB. */
     private static final int MAX_DECODED = 4;
 
     private final FleetDecoder decoder;
@@ -117,7 +118,7 @@
         }
         // Only the newest version on the page matters; an invalid one leaves the one before in force.
         for (int i = records.size() - 1; i >= 0; i--) {
-            Optional<Long> version = install(records.get(i), "the feed", now);
+            Optional<Long> version = apply(records.get(i), "the feed", now);
             if (version.isPresent()) {
                 storedVersion = version.get();
                 break;
@@ -129,7 +130,7 @@
     }
 
     /** Returns the version in a record, which is installed if it is newer; empty if it contains no valid configuration. */
-    private Optional<Long> install(FeedRecord r, String source, Moment now) {
+    private Optional<Long> apply(FeedRecord r, String source, Moment now) {
         for (Decoded d : decoded) {
             if (d.contains(r)) {
                 return Optional.of(d.version());
@@ -227,7 +228,7 @@
 
     /** Installs a configuration that another entry read from the store, if it is newer. */
     synchronized void configurationFromPeer(InstanceId from, FeedRecord record, Moment now) {
-        install(record, from.value(), now);
+        apply(record, from.value(), now);
     }
 
     /** Applies a page of the list of backend servers; a snapshot also removes the servers that it does not contain. */
