--- a/review/standins/SideBySide.java
+++ b/review/standins/SideBySide.java
@@ -25,6 +25,7 @@
     private static final int ATTEMPTS = 2;
     private static final int CALLERS = 16;
     private static final int FIRST_VERSION = 7;
+    private static final int FURTHER_ROUTES = 1_400;
     private static final int CONFIGURATION_INTERVAL_MILLIS = 300;
     private static final int STEADY_MILLIS = 1_200;
     private static final int MAX_STOP_SECONDS = 15;
@@ -131,12 +132,18 @@
         }
     }
 
-    /** Writes a configuration; every second one has a further route. */
+    /** Writes a configuration; every second one has a further route, every third one many that nobody requests. */
     private void configure(int version) {
-        String routes = route("book", "unsafe") + "," + route("read", "safe");
+        List<String> routes = new ArrayList<>(List.of(route("book", "unsafe"), route("read", "safe")));
+        if (version % 2 == 0) {
+            routes.add(route("more", "safe"));
+        }
+        for (int i = 0; version % 3 == 0 && i < FURTHER_ROUTES; i++) {
+            routes.add(route("further" + i, "safe"));
+        }
         deployment.configure(
                 version,
-                version % 2 == 0 ? routes + "," + route("more", "safe") : routes,
+                String.join(",", routes),
                 Deployment.service("booking-app"));
     }
 
