--- a/entry/src/test/java/org/baobabspindle/gateway/LateConfigurationTests.java
+++ b/entry/src/test/java/org/baobabspindle/gateway/LateConfigurationTests.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
@@ -70,7 +71,7 @@
         }
     }
 
-    private StoreReplay replay(int routes, Trouble trouble) {
+    private StoreReplay replay(int routes, Trouble trouble, long seed) {
         configurations.write(0, FEW_ROUTES);
         if (routes > FEW_ROUTES) {
             configurations.write(STORM_BEGIN - 2 * STORM_INTERVAL, routes);
@@ -78,7 +79,7 @@
         for (int i = 0; i < STORM_CHANGES; i++) {
             configurations.write(STORM_BEGIN + i * STORM_INTERVAL, routes);
         }
-        StoreReplay fleet = new StoreReplay(ENTRIES, 1, LINK_MEGABITS, configurations);
+        StoreReplay fleet = new StoreReplay(ENTRIES, seed, LINK_MEGABITS, configurations);
         fleet.time.at(STORM_BEGIN - 3 * STORM_INTERVAL, () -> trouble.apply(fleet));
         long[] bytesBefore = new long[1];
         fleet.time.at(STORM_BEGIN - 3 * STORM_INTERVAL, () -> bytesBefore[0] = fleet.links.bytesBetweenEntries());
@@ -146,19 +147,26 @@
     @ParameterizedTest
     @EnumSource
     void shortVersionsInQuickSuccessionAreInForceInTime(Trouble trouble) {
-        assertInForceInTime(replay(FEW_ROUTES, trouble), trouble);
+        assertInForceInTime(replay(FEW_ROUTES, trouble, 1), trouble);
     }
 
     @ParameterizedTest
     @EnumSource
     void longVersionsInQuickSuccessionAreInForceInTime(Trouble trouble) {
-        assertInForceInTime(replay(MANY_ROUTES, trouble), trouble);
+        assertInForceInTime(replay(MANY_ROUTES, trouble, 1), trouble);
+    }
+
+    /** An entry that reads the store itself gets all versions since its last read, which fill its link. */
+    @ParameterizedTest
+    @CsvSource({"READERS_SLOW, 2", "READERS_CUT_FROM_STORE, 3", "READERS_CUT_FROM_STORE, 4"})
+    void longVersionsAreInForceInTimeWhileEntriesReadTheStoreThemselves(Trouble trouble, long seed) {
+        assertInForceInTime(replay(MANY_ROUTES, trouble, seed), trouble);
     }
 
     /** Decoding competes with requests for the processor. */
     @Test
     void entriesDecodeEachVersionOnce() {
-        replay(FEW_ROUTES, Trouble.NONE);
+        replay(FEW_ROUTES, Trouble.NONE, 1);
         assertThat(configurations.decoded())
                 .isAtMost(ENTRIES * configurations.versions().size());
     }
